--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration and measurements; not part of the product."""
--- /dev/null
+++ b/shallotbridge/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of shallotbridge."""
--- /dev/null
+++ b/shallotbridge/core/__init__.py
@@ -0,0 +1,1 @@
+"""The work of shallotbridge; the public surface lies one level up."""
--- /dev/null
+++ b/shallotbridge/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' HTTP endpoint of a node."""
--- /dev/null
+++ b/shallotbridge/transports/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between processes: TCP, gRPC and their interface."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for developers; not part of the product."""
--- /dev/null
+++ b/tools/generate.py
@@ -0,0 +1,215 @@
+"""Generate the committed code from the files in ``schema/``.
+
+``python -m tools.generate`` writes the code; with ``--check`` it only
+reports files that differ from what the schema gives.
+"""
+
+import pathlib
+import re
+import sys
+import tempfile
+import tomllib
+
+from grpc_tools import protoc
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+SCHEMA = ROOT / "schema"
+GENERATED = pathlib.Path("shallotbridge/_generated")
+SETTINGS_PAGE = pathlib.Path("docs/settings.md")
+TYPE_NAMES = {
+    "str": "str",
+    "ip": "str",
+    "url": "str",
+    "int": "int",
+    "float": "float",
+    "ip_list": "tuple[str, ...]",
+}
+
+
+class GenerateError(Exception):
+    """The generator of protobuf code failed."""
+
+    code = "SB-9001"
+
+
+def _generate_messages(target):
+    output = target / GENERATED
+    arguments = [
+        "protoc",
+        f"--proto_path={SCHEMA}",
+        f"--python_out={output}",
+        f"--grpc_python_out={output}",
+    ]
+    names = sorted(path.name for path in SCHEMA.glob("*.proto"))
+    status = protoc.main(arguments + names)
+    if status != 0:
+        raise GenerateError(f"protoc ended with status {status}")
+    for path in output.glob("*_pb2*.py"):
+        # protoc writes absolute imports; inside the package they must be
+        # relative.
+        text = re.sub(
+            r"^import (\w+_pb2)",
+            r"from . import \1",
+            path.read_text(),
+            flags=re.M,
+        )
+        path.write_text(text)
+    # A file without services needs no gRPC module.
+    (output / "configuration_pb2_grpc.py").unlink()
+
+
+def _read_settings():
+    with (SCHEMA / "settings.toml").open("rb") as stream:
+        return tomllib.load(stream)["setting"]
+
+
+def _default_literal(setting):
+    default = setting.get("default")
+    if setting["type"] == "ip_list":
+        return repr(tuple(default or ()))
+    return _quoted(default)
+
+
+def _quoted(value):
+    if isinstance(value, str):
+        return f'"{value}"'
+    return repr(value)
+
+
+def _settings_code(settings):
+    lines = [
+        '"""Settings of a node, generated from schema/settings.toml."""',
+        "",
+        "import dataclasses",
+        "",
+        "",
+        "@dataclasses.dataclass(frozen=True, kw_only=True)",
+        "class SettingSpec:",
+        '    """Name, type, limits and help of one setting."""',
+        "",
+        "    name: str",
+        "    type: str",
+        "    help: str",
+        "    required: bool = False",
+        "    default: object = None",
+        "    minimum: float | None = None",
+        "    maximum: float | None = None",
+        '    unit: str = ""',
+        '    example: str = ""',
+        "",
+        "",
+        "@dataclasses.dataclass(frozen=True, kw_only=True)",
+        "class NodeSettings:",
+        '    """Checked settings of a node; see docs/settings.md."""',
+        "",
+    ]
+    for setting in settings:
+        line = f"    {setting['name']}: {TYPE_NAMES[setting['type']]}"
+        if not setting.get("required"):
+            line += f" = {_default_literal(setting)}"
+        lines.append(line)
+    lines += ["", "", "SPECS = ("]
+    for setting in settings:
+        lines.append("    SettingSpec(")
+        for key in sorted(setting):
+            value = setting[key]
+            if isinstance(value, list):
+                value = tuple(value)
+            text = f"        {key}={_quoted(value)},"
+            if len(text) > 79:
+                text = f"        {key}={_wrapped(value)},"
+            lines.append(text)
+        lines.append("    ),")
+    lines += [
+        ")",
+        "SPECS_BY_NAME = {spec.name: spec for spec in SPECS}",
+        "",
+    ]
+    return "\n".join(lines)
+
+
+def _wrapped(text):
+    """Split a long string over lines the way the formatter leaves it."""
+    pieces = []
+    while text:
+        cut = len(text) if len(text) <= 60 else text.rfind(" ", 0, 60) + 1
+        pieces.append(text[:cut])
+        text = text[cut:]
+    body = "\n".join(f'            "{piece}"' for piece in pieces)
+    return f"(\n{body}\n        )"
+
+
+def _settings_page(settings):
+    lines = [
+        "# Settings of a node",
+        "",
+        "Made by `python -m tools.generate` from `schema/settings.toml`.",
+        "",
+        "| flag | environment variable | default | limits | meaning |",
+        "| --- | --- | --- | --- | --- |",
+    ]
+    for setting in settings:
+        name = setting["name"]
+        flag = name.replace("_", "-")
+        default = setting.get("default", "required")
+        if default in ("", []):
+            default = "empty"
+        limits = ""
+        if "minimum" in setting:
+            limits = f"{setting['minimum']} to {setting['maximum']}"
+        unit = f" [{setting['unit']}]" if "unit" in setting else ""
+        lines.append(
+            f"| `--{flag}` | `SHALLOTBRIDGE_{name.upper()}` | {default} "
+            f"| {limits} | {setting['help']}{unit} |"
+        )
+    return "\n".join(lines) + "\n"
+
+
+def generate(target):
+    """Write all generated files below a directory.
+
+    Parameters
+    ----------
+    target : pathlib.Path
+        Directory with the layout of the repository.
+    """
+    (target / GENERATED).mkdir(parents=True, exist_ok=True)
+    (target / SETTINGS_PAGE).parent.mkdir(parents=True, exist_ok=True)
+    settings = _read_settings()
+    _generate_messages(target)
+    (target / GENERATED / "__init__.py").write_text(
+        '"""Code generated from schema/; do not edit."""\n'
+    )
+    (target / GENERATED / "settings.py").write_text(_settings_code(settings))
+    (target / SETTINGS_PAGE).write_text(_settings_page(settings))
+
+
+def _differing_files():
+    with tempfile.TemporaryDirectory() as directory:
+        target = pathlib.Path(directory)
+        generate(target)
+        for path in sorted(target.rglob("*")):
+            if not path.is_file():
+                continue
+            name = path.relative_to(target)
+            committed = ROOT / name
+            if (
+                not committed.exists()
+                or committed.read_text() != path.read_text()
+            ):
+                yield name
+
+
+def main(arguments):
+    """Run the generator; returns the exit status."""
+    if "--check" not in arguments:
+        generate(ROOT)
+        return 0
+    differing = list(_differing_files())
+    for name in differing:
+        print(f"{name} differs from schema/; run 'make generate'")
+    return 1 if differing else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
