--- /dev/null
+++ b/shallotbridge/core/metrics.py
@@ -0,0 +1,92 @@
+"""Counters, gauges and timings of a node, sent to a statsd server.
+
+docs/metrics.md lists them. The counters also appear in the status.
+"""
+
+import collections
+
+import statsd
+import trio
+
+PREFIX = "shallotbridge"
+SEND_INTERVAL = 1.0  # s
+# Samples of one timing that are sent for an interval; later ones are only
+# counted, so that load does not multiply the datagrams.
+SAMPLES_PER_INTERVAL = 50
+_MILLISECONDS = 1000
+
+
+class Metrics:
+    """Collects metrics in memory and sends them once a second.
+
+    Without a statsd address only counters are kept.
+
+    Parameters
+    ----------
+    address : tuple of (str, int) or None
+        Host and port of the statsd server.
+
+    Examples
+    --------
+    >>> metrics = Metrics(address=None)
+    >>> metrics.count("requests.run")
+    >>> metrics.counts_by_name["requests.run"]
+    1
+    """
+
+    def __init__(self, *, address):
+        self.counts_by_name = collections.Counter()
+        self._address = address
+        self._gauges_by_name = {}
+        self._samples_by_name = {}
+
+    @property
+    def is_enabled(self):
+        """True if a statsd server receives the metrics."""
+        return self._address is not None
+
+    def count(self, name, amount=1):
+        """Add to a counter."""
+        self.counts_by_name[name] += amount
+
+    def gauge(self, name, read):
+        """Register a function that gives the current value of a gauge."""
+        self._gauges_by_name[name] = read
+
+    def timing(self, name, seconds):
+        """Record one duration in seconds."""
+        if self._address is None:
+            return
+        samples = self._samples_by_name.setdefault(name, [])
+        if len(samples) < SAMPLES_PER_INTERVAL:
+            samples.append(seconds)
+
+    async def run(self):
+        """Send once a second until cancelled; return without an address."""
+        if self._address is None:
+            return
+        host, port = self._address
+        client = statsd.StatsClient(host=host, port=port, prefix=PREFIX)
+        sent_by_name = collections.Counter()
+        try:
+            while True:
+                await trio.sleep(SEND_INTERVAL)
+                self._send(client, sent_by_name)
+        finally:
+            self._send(client, sent_by_name)
+            client.close()
+
+    def _send(self, client, sent_by_name):
+        with client.pipeline() as pipeline:
+            for name, total in self.counts_by_name.items():
+                if total != sent_by_name[name]:
+                    pipeline.incr(name, total - sent_by_name[name])
+                    sent_by_name[name] = total
+            for name, read in self._gauges_by_name.items():
+                value = read()
+                if value is not None:
+                    pipeline.gauge(name, value)
+            for name, samples in self._samples_by_name.items():
+                for seconds in samples:
+                    pipeline.timing(name, seconds * _MILLISECONDS)
+                samples.clear()
--- /dev/null
+++ b/shallotbridge/core/settings.py
@@ -0,0 +1,226 @@
+"""Settings of a node from flags and environment variables."""
+
+import dataclasses
+import ipaddress
+import math
+import urllib.parse
+
+from .._generated import settings as generated
+from . import errors
+
+VARIABLE_PREFIX = "SHALLOTBRIDGE_"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SettingProblem:
+    """One setting that is missing or has a value that is not allowed."""
+
+    setting: str
+    found: str
+    allowed: str
+
+    def __str__(self):
+        return (
+            f"{self.setting}: found {self.found}; allowed: {self.allowed} "
+            f"(flag {flag_of(self.setting)}, "
+            f"variable {variable_of(self.setting)})"
+        )
+
+
+def flag_of(name):
+    """Return the command line flag of a setting.
+
+    Examples
+    --------
+    >>> flag_of("host_id")
+    '--host-id'
+    """
+    return "--" + name.replace("_", "-")
+
+
+def variable_of(name):
+    """Return the environment variable of a setting.
+
+    Examples
+    --------
+    >>> variable_of("host_id")
+    'SHALLOTBRIDGE_HOST_ID'
+    """
+    return VARIABLE_PREFIX + name.upper()
+
+
+def load_settings(*, flags, environment):
+    """Return the checked settings of a node.
+
+    A flag takes precedence over the variable, and both over the default.
+    An empty variable counts as absent.
+
+    Parameters
+    ----------
+    flags : mapping of str to str or None
+        Text of each flag by the setting's name; None if it is not given.
+    environment : mapping of str to str
+
+    Returns
+    -------
+    NodeSettings
+
+    Raises
+    ------
+    errors.SettingsError
+        All settings that are missing or not allowed, in one error.
+
+    Examples
+    --------
+    >>> settings = load_settings(
+    ...     flags={
+    ...         "host_id": "c1-showroom-1",
+    ...         "address": "127.0.1.1",
+    ...         "failure_domain": "cairo-1",
+    ...         "service": "showroom",
+    ...         "platform_url": "http://127.0.0.1:7500",
+    ...     },
+    ...     environment={"SHALLOTBRIDGE_READERS": "2"},
+    ... )
+    >>> settings.readers, settings.fan_out
+    (2, 8)
+    """
+    values_by_name = {}
+    problems = []
+    for spec in generated.SPECS:
+        text = flags.get(spec.name)
+        if text is None:
+            text = environment.get(variable_of(spec.name)) or None
+        if text is None:
+            if spec.required:
+                allowed = f"a value such as {spec.example}"
+                problems.append(_problem(spec, "nothing", allowed))
+            continue
+        try:
+            values_by_name[spec.name] = _parse(spec, text)
+        except ValueError as error:
+            problems.append(_problem(spec, repr(text), str(error)))
+    problems += _address_problems(values_by_name)
+    problems += _port_problems(values_by_name)
+    if problems:
+        raise errors.SettingsError(problems)
+    return generated.NodeSettings(**values_by_name)
+
+
+def _problem(spec, found, allowed):
+    return SettingProblem(setting=spec.name, found=found, allowed=allowed)
+
+
+def _address_problems(values_by_name):
+    text = values_by_name.get("statsd_address", "")
+    try:
+        parse_address(text)
+    except ValueError as error:
+        spec = generated.SPECS_BY_NAME["statsd_address"]
+        yield _problem(spec, repr(text), str(error))
+
+
+def _port_problems(values_by_name):
+    """Yield listening ports that two of the node's servers would share."""
+    names_by_port = {}
+    for spec in generated.SPECS:
+        if not spec.name.endswith("_port"):
+            continue
+        port = values_by_name.get(spec.name, spec.default)
+        other = names_by_port.setdefault(port, spec.name)
+        if other != spec.name:
+            allowed = f"a port that {flag_of(other)} does not use"
+            yield _problem(spec, str(port), allowed)
+
+
+def parse_address(text):
+    """Return host and port of ``HOST:PORT``, or None of an empty text.
+
+    Raises
+    ------
+    ValueError
+        The text is neither; the message says what is allowed.
+
+    Examples
+    --------
+    >>> parse_address("127.0.0.1:8125")
+    ('127.0.0.1', 8125)
+    """
+    if not text:
+        return None
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or not 1 <= int(port) <= 65535:
+        raise ValueError("HOST:PORT such as 127.0.0.1:8125, or empty")
+    return host, int(port)
+
+
+def _parse(spec, text):
+    return _PARSERS_BY_TYPE[spec.type](spec, text.strip())
+
+
+def _parse_text(spec, text):
+    if spec.required and not text:
+        raise ValueError(f"a value such as {spec.example}")
+    return text
+
+
+def _parse_ip(spec, text):
+    if not text and not spec.required:
+        return text
+    try:
+        return str(ipaddress.ip_address(text))
+    except ValueError:
+        raise ValueError(
+            f"an IP address such as {spec.example or '127.0.1.1'}"
+        ) from None
+
+
+def _parse_ip_list(spec, text):
+    pieces = [piece.strip() for piece in text.split(",")]
+    try:
+        return tuple(
+            str(ipaddress.ip_address(piece)) for piece in pieces if piece
+        )
+    except ValueError:
+        raise ValueError(
+            f"IP addresses with commas between, such as {spec.example}"
+        ) from None
+
+
+def _parse_url(spec, text):
+    try:
+        url = urllib.parse.urlsplit(text)
+        is_allowed = url.scheme in ("http", "https") and bool(url.hostname)
+        # The attribute raises ValueError for a port outside 0 to 65535.
+        url.port
+    except ValueError:
+        is_allowed = False
+    if not is_allowed:
+        raise ValueError(f"an http or https URL such as {spec.example}")
+    return text.rstrip("/")
+
+
+def _parse_number(spec, text):
+    convert, kind = (
+        (int, "an integer") if spec.type == "int" else (float, "a number")
+    )
+    limits = f"{kind} from {spec.minimum} to {spec.maximum}"
+    if spec.unit:
+        limits += f" {spec.unit}"
+    try:
+        value = convert(text)
+    except ValueError:
+        raise ValueError(limits) from None
+    if math.isnan(value) or not spec.minimum <= value <= spec.maximum:
+        raise ValueError(limits)
+    return value
+
+
+_PARSERS_BY_TYPE = {
+    "str": _parse_text,
+    "ip": _parse_ip,
+    "ip_list": _parse_ip_list,
+    "url": _parse_url,
+    "int": _parse_number,
+    "float": _parse_number,
+}
