--- /dev/null
+++ b/shallotbridge/cli/node.py
@@ -0,0 +1,101 @@
+"""The command that runs a node."""
+
+import inspect
+import os
+import sys
+import typing
+
+import typer
+
+from .._generated import settings as generated
+from ..core import errors
+from ..core import settings as core_settings
+
+EXIT_STOPPED = 0
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+EXIT_INTERRUPTED = 3
+EXIT_CANNOT_LISTEN = 4
+
+_HELP = """Run the node of this host until it is told to stop.
+
+Each setting is a flag or an environment variable; the flag takes
+precedence. The first SIGTERM or SIGINT drains the node within
+--drain-timeout; the second one ends it at once.
+
+Example:
+
+shallotbridge node --host-id c1-showroom-1 --address 127.0.1.1
+--failure-domain cairo-1 --service showroom
+--platform-url http://127.0.0.1:7500 --seeds 127.0.1.2,127.0.1.3
+
+Exit status: 0 stopped, and no request was cut off; 1 failed; 2 a setting is
+missing or not allowed; 3 stopped, and requests were cut off; 4 a port cannot
+be bound."""
+
+
+def register(app):
+    """Add the ``node`` command to the command line."""
+    app.command("node", help=_HELP)(_make_command())
+
+
+def _make_command():
+    def command(**flags):
+        raise typer.Exit(run_node(flags=flags, environment=os.environ))
+
+    parameters = []
+    for spec in generated.SPECS:
+        option = typer.Option(
+            core_settings.flag_of(spec.name),
+            help=_option_help(spec),
+            metavar=spec.type.upper(),
+            show_default=False,
+        )
+        parameters.append(
+            inspect.Parameter(
+                spec.name,
+                inspect.Parameter.KEYWORD_ONLY,
+                default=None,
+                annotation=typing.Annotated[str | None, option],
+            )
+        )
+    command.__signature__ = inspect.Signature(parameters)
+    command.__annotations__ = {
+        parameter.name: parameter.annotation for parameter in parameters
+    }
+    return command
+
+
+def _option_help(spec):
+    facts = [f"variable {core_settings.variable_of(spec.name)}"]
+    if spec.required:
+        facts.append("required")
+    elif spec.default not in ("", ()):
+        facts.append(f"default {spec.default}")
+    if spec.minimum is not None:
+        facts.append(f"{spec.minimum} to {spec.maximum} {spec.unit}".strip())
+    return f"{spec.help} ({'; '.join(facts)})"
+
+
+def run_node(*, flags, environment):
+    """Run a node and return the exit status.
+
+    Parameters
+    ----------
+    flags : mapping of str to str or None
+        Text of each flag by the setting's name.
+    environment : mapping of str to str
+    """
+    try:
+        settings = core_settings.load_settings(
+            flags=flags, environment=environment
+        )
+    except errors.SettingsError as error:
+        print(f"{error.code}: the settings are not allowed", file=sys.stderr)
+        for problem in error.problems:
+            print(f"  {problem}", file=sys.stderr)
+        return EXIT_SETTINGS
+    # The node's modules are large; 'shallotbridge --help' does without.
+    from ..core import process
+
+    return process.run(settings)
