--- a/tools/generate.py
+++ b/tools/generate.py
@@ -1,4 +1,6 @@
-"""Generate the committed code from the files in ``schema/``.
+"""Generate the committed code and pages from the sources of truth.
+
+These are the files in ``schema/`` and ``shallotbridge/core/errors.py``.
 
 ``python -m tools.generate`` writes the code; with ``--check`` it only
 reports files that differ from what the schema gives.
@@ -12,10 +14,13 @@
 
 from grpc_tools import protoc
 
+from shallotbridge.core import errors
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SCHEMA = ROOT / "schema"
 GENERATED = pathlib.Path("shallotbridge/_generated")
 SETTINGS_PAGE = pathlib.Path("docs/settings.md")
+ERRORS_PAGE = pathlib.Path("docs/errors.md")
 TYPE_NAMES = {
     "str": "str",
     "ip": "str",
@@ -165,6 +170,33 @@
     return "\n".join(lines) + "\n"
 
 
+def _errors_page():
+    lines = [
+        "# Errors",
+        "",
+        "Made by `python -m tools.generate` from",
+        "`shallotbridge/core/errors.py`. Codes are stable. SB-1xxx are errors",
+        "of an operator's files and builds, SB-2xxx of distribution, SB-3xxx",
+        "answers to callers, SB-4xxx settings. Only answers to callers have a",
+        "status, an outcome and a word on retries; `callers-guide.md` says",
+        "what they mean for a caller.",
+        "",
+        "| code | type | meaning | status | outcome | retry |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
+    for code, error_type in sorted(errors.errors_by_code().items()):
+        meaning = " ".join(error_type.__doc__.split("\n\n")[0].split())
+        facts = ["", "", ""]
+        if issubclass(error_type, errors.CallError):
+            retry = "safe" if error_type.is_retry_safe else "unsafe"
+            facts = [str(error_type.status), str(error_type.outcome), retry]
+        name = error_type.__name__
+        lines.append(
+            " | ".join([f"| {code}", f"`{name}`", meaning, *facts]) + " |"
+        )
+    return "\n".join(lines) + "\n"
+
+
 def generate(target):
     """Write all generated files below a directory.
 
@@ -182,6 +214,7 @@
     )
     (target / GENERATED / "settings.py").write_text(_settings_code(settings))
     (target / SETTINGS_PAGE).write_text(_settings_page(settings))
+    (target / ERRORS_PAGE).write_text(_errors_page())
 
 
 def _differing_files():
@@ -207,7 +240,7 @@
         return 0
     differing = list(_differing_files())
     for name in differing:
-        print(f"{name} differs from schema/; run 'make generate'")
+        print(f"{name} differs from its source; run 'make generate'")
     return 1 if differing else 0
 
 
