--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,287 @@
+"""Real processes on loopback addresses for the demo, benchmarks and tests."""
+
+import collections.abc
+import contextlib
+import ctypes
+import dataclasses
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+import httpx
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+CALLER_PORT = 7400
+OPERATOR_PORT = 7403
+UPSTREAM_PORT = 8080
+PLATFORM_PORT = 7500
+# Generous, since a busy machine may start processes slowly, s.
+READY_SECONDS = 60.0
+STOP_SECONDS = 30.0
+_POLL_SECONDS = 0.05
+_PR_SET_PDEATHSIG = 1
+_LIBC = ctypes.CDLL(None)
+
+
+class ProcessError(Exception):
+    """A process of the demo did not do what it should."""
+
+    code = "SB-9002"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HostPlan:
+    """One host of the demo: an address with an upstream and a node."""
+
+    host_id: str
+    address: str
+    service: str
+    failure_domain: str
+
+
+def _end_with_parent():
+    """Ask the kernel to end this child when its parent ends."""
+    _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+class Processes:
+    """Started processes by name; leaving the context ends all of them.
+
+    Parameters
+    ----------
+    directory : pathlib.Path
+        Directory for the output of the processes.
+    """
+
+    def __init__(self, *, directory):
+        self.directory = directory
+        self._processes_by_name = {}
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exception):
+        self.close()
+
+    def start(self, name, arguments, *, environment=None):
+        """Start a Python module with arguments; output goes to a file."""
+        log = (self.directory / f"{name}.log").open("ab")
+        with log:
+            self._processes_by_name[name] = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env=os.environ | (environment or {}),
+                preexec_fn=_end_with_parent,
+            )
+        return self._processes_by_name[name]
+
+    def process(self, name):
+        """Return the process that was last started under a name."""
+        return self._processes_by_name[name]
+
+    def is_running(self, name):
+        """Tell whether a process has not ended."""
+        return self._processes_by_name[name].poll() is None
+
+    def send_signal(self, name, number):
+        """Send a signal to one process."""
+        self._processes_by_name[name].send_signal(number)
+
+    def wait(self, name, timeout=STOP_SECONDS):
+        """Wait for the end of a process and return its exit status."""
+        return self._processes_by_name[name].wait(timeout)
+
+    def output(self, name):
+        """Return what a process has written so far."""
+        return (self.directory / f"{name}.log").read_text(errors="replace")
+
+    def close(self):
+        """End all processes that still run."""
+        for process in self._processes_by_name.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self._processes_by_name.values():
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                process.wait(STOP_SECONDS)
+
+
+@contextlib.contextmanager
+def running_processes() -> collections.abc.Iterator[Processes]:
+    """Give ``Processes`` that end on any exit, also on SIGTERM."""
+
+    def on_signal(number, frame):
+        raise SystemExit(128 + number)
+
+    previous = signal.signal(signal.SIGTERM, on_signal)
+    try:
+        with tempfile.TemporaryDirectory(prefix="shallotbridge-") as name:
+            with Processes(directory=pathlib.Path(name)) as processes:
+                yield processes
+    finally:
+        signal.signal(signal.SIGTERM, previous)
+
+
+def free_network():
+    """Return a prefix such as ``127.83`` on which nothing listens.
+
+    Each run takes its own, so that runs at the same time do not meet.
+    """
+    chooser = random.SystemRandom()
+    for _ in range(100):
+        prefix = f"127.{chooser.randrange(20, 250)}"
+        probes = [
+            (f"{prefix}.0.1", PLATFORM_PORT),
+            (f"{prefix}.1.1", CALLER_PORT),
+            (f"{prefix}.1.1", UPSTREAM_PORT),
+        ]
+        if all(_is_free(address, port) for address, port in probes):
+            return prefix
+    raise ProcessError("no free loopback addresses were found")
+
+
+def _is_free(address, port):
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((address, port))
+        except OSError:
+            return False
+        return True
+
+
+def wait_until(check, *, description, timeout=READY_SECONDS):
+    """Wait until ``check()`` is true and return what it returned.
+
+    Raises
+    ------
+    ProcessError
+        It did not become true in time.
+    """
+    end = time.monotonic() + timeout
+    while True:
+        found = check()
+        if found:
+            return found
+        if time.monotonic() > end:
+            raise ProcessError(f"after {timeout:g} s: not yet {description}")
+        time.sleep(_POLL_SECONDS)
+
+
+def get_json(url, timeout=5.0):
+    """Return the JSON document at a URL, or None if there is no answer."""
+    try:
+        answer = httpx.get(url, timeout=timeout, trust_env=False)
+        return answer.json() if answer.status_code == 200 else None
+    except (httpx.HTTPError, ValueError):
+        return None
+
+
+def node_status(address):
+    """Return the status of a node, or None if it does not answer."""
+    return get_json(f"http://{address}:{OPERATOR_PORT}/status")
+
+
+def start_node(processes, host, *, platform_url, seeds=(), **settings):
+    """Start the node of a host.
+
+    Parameters
+    ----------
+    processes : Processes
+    host : HostPlan
+    platform_url : str
+    seeds : iterable of str
+        Addresses of peers.
+    **settings
+        Further settings by name.
+
+    Returns
+    -------
+    str
+        Name of the process.
+    """
+    name = f"node-{host.host_id}"
+    flags_by_name = {
+        "host_id": host.host_id,
+        "address": host.address,
+        "failure_domain": host.failure_domain,
+        "service": host.service,
+        "platform_url": platform_url,
+        "seeds": ",".join(seeds),
+    } | settings
+    arguments = [
+        f"--{key.replace('_', '-')}={value}"
+        for key, value in flags_by_name.items()
+    ]
+    processes.start(name, ["shallotbridge", "node", *arguments])
+    return name
+
+
+def wait_enforcing(processes, hosts, *, version=1):
+    """Wait until the nodes of hosts enforce a version or a higher one."""
+
+    def is_enforcing(host):
+        name = f"node-{host.host_id}"
+        if not processes.is_running(name):
+            raise ProcessError(
+                f"{name} ended: {processes.output(name)[-2000:]}"
+            )
+        status = node_status(host.address)
+        return status and status["enforcing"] and status["version"] >= version
+
+    for host in hosts:
+        wait_until(
+            lambda host=host: is_enforcing(host),
+            description=f"{host.host_id} enforcing version {version}",
+        )
+
+
+def run_command(*arguments):
+    """Run a shallotbridge command and return its standard output.
+
+    Raises
+    ------
+    ProcessError
+        The command failed.
+    """
+    done = subprocess.run(
+        [sys.executable, "-m", "shallotbridge", *map(str, arguments)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+    )
+    if done.returncode != 0:
+        raise ProcessError(
+            f"{' '.join(map(str, arguments))}: status {done.returncode}: "
+            f"{done.stdout}{done.stderr}"
+        )
+    return done.stdout
+
+
+def host_lists(hosts, *, revision, leaving=()):
+    """Return the platform's host lists by their keys."""
+    lists_by_key = {}
+    for host in hosts:
+        key = f"hosts/{host.failure_domain}"
+        entry = {
+            "host_id": host.host_id,
+            "address": host.address,
+            "service": host.service,
+            "state": "leaving" if host.host_id in leaving else "live",
+        }
+        found = lists_by_key.setdefault(
+            key, {"revision": revision, "hosts": []}
+        )
+        found["hosts"].append(entry)
+    return {
+        key: json.dumps(value).encode() for key, value in lists_by_key.items()
+    }
