--- /dev/null
+++ b/tests/golden/__init__.py
@@ -0,0 +1,1 @@
+"""Golden files of whole sessions; see docs/golden-sessions.md."""
