--- a/shallotbridge/core/errors.py
+++ b/shallotbridge/core/errors.py
@@ -80,6 +80,24 @@
     code = "SB-1005"
 
 
+class UnchangedBuildError(BuildError):
+    """A tree has the content of its base, so a new version is needless."""
+
+    code = "SB-1006"
+
+
+class ServiceWithoutDomainError(ConfigurationError):
+    """A service would keep no failure domain that is in service."""
+
+    code = "SB-1007"
+
+
+class UnreadableInputError(ConfigurationError):
+    """A file or directory that an operator named cannot be used."""
+
+    code = "SB-1008"
+
+
 # Distribution.
 
 
--- /dev/null
+++ b/tests/core/test_build.py
@@ -0,0 +1,147 @@
+"""Tests of accepted configurations."""
+
+import dataclasses
+
+import hypothesis
+import pytest
+
+from shallotbridge._generated import configuration_pb2
+from shallotbridge.core import build
+from shallotbridge.core import errors
+from shallotbridge.core import parts
+from tests import builders
+
+
+def _build(base=None, **changes):
+    configuration = builders.make_configuration(**changes)
+    return build.make_build(configuration, base=base)
+
+
+def _files(directory):
+    return {
+        path.relative_to(directory).as_posix(): path.read_bytes()
+        for path in directory.rglob("*")
+        if path.is_file()
+    }
+
+
+def test_a_written_build_is_read_back(tmp_path):
+    """Guards against a directory that differs from what was built."""
+    first = _build()
+    build.write_build(first, tmp_path)
+    assert _files(tmp_path) == first.values_by_key
+    assert build.read_build(tmp_path) == first
+    second = _build(base=first, out_of_service=["cairo-1"])
+    build.write_build(second, tmp_path)
+    assert _files(tmp_path) == second.values_by_key
+    assert build.read_build(tmp_path).base == first.configuration.head
+    assert list(second.values_by_key)[-1] == parts.HEAD_KEY
+
+
+def test_the_bytes_do_not_depend_on_the_order_of_files():
+    """Guards against two digests for one tree."""
+    services = [builders.make_service(), builders.make_service(name="a")]
+    services[1] = dataclasses.replace(services[1], routes_by_name={})
+    assert (
+        _build(services=services).values_by_key
+        == _build(services=services[::-1]).values_by_key
+    )
+
+
+def test_a_build_is_refused():
+    """Guards against a version that nodes or the platform would refuse."""
+    first = _build()
+    with pytest.raises(errors.UnchangedBuildError, match="version 1"):
+        _build(base=first)
+    again = build.make_build(
+        first.configuration, base=first, allow_unchanged=True
+    )
+    assert again.configuration.head.version == 2
+    for version in (1, 3):
+        with pytest.raises(errors.VersionOrderError, match="allowed: 2"):
+            build.make_build(first.configuration, base=first, version=version)
+    dangling = builders.make_route(depends_on=("absent",))
+    with pytest.raises(errors.BuildError, match="absent"):
+        _build(services=[builders.make_service(routes=[dangling])])
+    routes = [
+        builders.make_route(name=f"r{number}", path=f"/{number}/{'x' * 500}")
+        for number in range(2000)
+    ]
+    with pytest.raises(errors.ValueSizeError, match="'showroom'"):
+        _build(services=[builders.make_service(routes=routes)])
+
+
+def test_a_directory_is_not_overwritten(tmp_path):
+    """Guards against the loss of a newer build or of other files."""
+    first = _build()
+    second = _build(base=first, out_of_service=["cairo-1"])
+    build.write_build(second, tmp_path / "v")
+    before = _files(tmp_path)
+    rival = _build(base=first, out_of_service=["cairo-2"])
+    for older in (first, rival):
+        with pytest.raises(errors.VersionOrderError, match="version 2"):
+            build.write_build(older, tmp_path / "v")
+    build.write_build(second, tmp_path / "v")
+    with pytest.raises(errors.UnreadableInputError, match="found v"):
+        build.write_build(first, tmp_path)
+    assert _files(tmp_path) == before
+
+
+def _head(tmp_path, **fields):
+    path = tmp_path / parts.HEAD_KEY
+    head = configuration_pb2.Head.FromString(path.read_bytes())
+    head.MergeFrom(configuration_pb2.Head(**fields))
+    path.write_bytes(head.SerializeToString())
+    return head
+
+
+def test_a_damaged_directory_is_found(tmp_path):
+    """Guards against publishing values that every node refuses."""
+    made = _build()
+    bundle_key, _ = made.values_by_key
+    path = tmp_path / bundle_key
+    build.write_build(made, tmp_path)
+    path.write_bytes(path.read_bytes()[:-1])
+    with pytest.raises(errors.DigestMismatchError, match=path.name):
+        build.read_build(tmp_path)
+    path.unlink()
+    with pytest.raises(errors.UnreadableInputError, match=path.name):
+        build.read_build(tmp_path)
+    build.write_build(made, tmp_path)
+    _head(tmp_path, digest=b"x" * 32)
+    with pytest.raises(errors.DigestMismatchError, match="states digest"):
+        build.read_build(tmp_path)
+    _head(tmp_path, version=7)
+    with pytest.raises(errors.VersionOrderError, match="version 7"):
+        build.read_build(tmp_path)
+    (tmp_path / parts.HEAD_KEY).write_bytes(b"\xff")
+    with pytest.raises(errors.MalformedPartError):
+        build.read_build(tmp_path)
+
+
+def test_a_head_cannot_name_files_outside_the_directory(tmp_path):
+    """Guards against a head that makes the command read any file."""
+    made = _build()
+    build.write_build(made, tmp_path)
+    reference = configuration_pb2.BundleReference(
+        key="../../secret", digest=b"d" * 32, size=1
+    )
+    _head(tmp_path, bundles=[reference])
+    with pytest.raises(errors.DigestMismatchError, match="secret"):
+        build.read_build(tmp_path)
+
+
+@hypothesis.given(
+    hypothesis.strategies.dictionaries(
+        hypothesis.strategies.text(max_size=8), hypothesis.strategies.binary()
+    )
+)
+def test_bundles_hold_all_parts(contents_by_name):
+    """Guards against a part that is lost or changed in the bundles."""
+    found = [
+        (part.name, part.content)
+        for value in parts.make_bundles(contents_by_name)
+        for part in configuration_pb2.Bundle.FromString(value).parts
+    ]
+    assert len(found) == len(contents_by_name)
+    assert dict(found) == contents_by_name
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -15,6 +15,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SCHEMA = ROOT / "schema"
 GENERATED = pathlib.Path("shallotbridge/_generated")
+CONFIGURATION_SCHEMA = "configuration.schema.json"
 SETTINGS_PAGE = pathlib.Path("docs/settings.md")
 TYPE_NAMES = {
     "str": "str",
@@ -182,6 +183,10 @@
     )
     (target / GENERATED / "settings.py").write_text(_settings_code(settings))
     (target / SETTINGS_PAGE).write_text(_settings_page(settings))
+    # A copy inside the package, so that the built program contains it.
+    (target / GENERATED / CONFIGURATION_SCHEMA).write_text(
+        (SCHEMA / CONFIGURATION_SCHEMA).read_text()
+    )
 
 
 def _differing_files():
