--- a/shallotbridge/cli/node.py
+++ b/shallotbridge/cli/node.py
@@ -23,15 +23,20 @@
 precedence. The first SIGTERM or SIGINT drains the node within
 --drain-timeout; the second one ends it at once.
 
+\b
 Example:
+  shallotbridge node --host-id c1-showroom-1 --address 127.0.1.1 \\
+      --failure-domain cairo-1 --service showroom \\
+      --platform-url http://127.0.0.1:7500 --seeds 127.0.1.2,127.0.1.3
 
-shallotbridge node --host-id c1-showroom-1 --address 127.0.1.1
---failure-domain cairo-1 --service showroom
---platform-url http://127.0.0.1:7500 --seeds 127.0.1.2,127.0.1.3
-
-Exit status: 0 stopped, and no request was cut off; 1 failed; 2 a setting is
-missing or not allowed; 3 stopped, and requests were cut off; 4 a port cannot
-be bound."""
+\b
+Exit codes:
+  0  stopped, and no request was cut off
+  1  failed; the last log lines say why
+  2  a setting is missing or not allowed
+  3  stopped, and requests were cut off
+  4  a port cannot be bound
+"""
 
 
 def register(app):
@@ -47,6 +52,7 @@
     for spec in generated.SPECS:
         option = typer.Option(
             core_settings.flag_of(spec.name),
+            envvar=core_settings.variable_of(spec.name),
             help=_option_help(spec),
             metavar=spec.type.upper(),
             show_default=False,
@@ -67,14 +73,14 @@
 
 
 def _option_help(spec):
-    facts = [f"variable {core_settings.variable_of(spec.name)}"]
+    facts = []
     if spec.required:
         facts.append("required")
     elif spec.default not in ("", ()):
         facts.append(f"default {spec.default}")
     if spec.minimum is not None:
         facts.append(f"{spec.minimum} to {spec.maximum} {spec.unit}".strip())
-    return f"{spec.help} ({'; '.join(facts)})"
+    return f"{spec.help} ({'; '.join(facts)})" if facts else spec.help
 
 
 def run_node(*, flags, environment):
--- a/shallotbridge/cli/status.py
+++ b/shallotbridge/cli/status.py
@@ -30,15 +30,19 @@
 
 Give addresses as IP or IP:PORT of the operator endpoint.
 
+\b
 Examples:
+  shallotbridge status 127.0.1.1
+  shallotbridge status --json 127.0.1.1 127.0.2.1:7403
 
-shallotbridge status 127.0.1.1
-
-shallotbridge status --json 127.0.1.1 127.0.2.1:7403
-
-Exit status: 0 all nodes enforce the same version; 1 a node did not answer;
-3 a node enforces no configuration yet; 4 the versions differ or a node
-reports a conflict."""
+\b
+Exit codes:
+  0  all nodes enforce the same version
+  1  a node did not answer
+  2  wrong usage
+  3  a node enforces no configuration yet
+  4  the versions differ, or a node reports a conflict
+"""
 
 
 def register(app):
@@ -49,11 +53,19 @@
 def _command(
     addresses: typing.Annotated[
         list[str],
-        typer.Argument(metavar="ADDRESS...", help="IP or IP:PORT of a node."),
+        typer.Argument(
+            metavar="ADDRESS...",
+            envvar="SHALLOTBRIDGE_STATUS_ADDRESSES",
+            help="IP or IP:PORT of a node.",
+        ),
     ],
     as_json: typing.Annotated[
         bool,
-        typer.Option("--json", help="Print JSON, one object by address."),
+        typer.Option(
+            "--json",
+            envvar="SHALLOTBRIDGE_STATUS_JSON",
+            help="Print JSON, one object by address.",
+        ),
     ] = False,
 ):
     raise typer.Exit(show_status(addresses, as_json=as_json))
