--- a/shallotbridge/core/metrics.py
+++ b/shallotbridge/core/metrics.py
@@ -38,6 +38,7 @@
         self.counts_by_name = collections.Counter()
         self._address = address
         self._gauges_by_name = {}
+        self._totals_by_name = {}
         self._samples_by_name = {}
 
     @property
@@ -53,6 +54,15 @@
         """Register a function that gives the current value of a gauge."""
         self._gauges_by_name[name] = read
 
+    def total(self, name, read):
+        """Register a function that gives the total of a counter so far."""
+        self._totals_by_name[name] = read
+
+    def totals(self):
+        """Return the totals of all counters by name."""
+        read = {name: read() for name, read in self._totals_by_name.items()}
+        return dict(self.counts_by_name) | read
+
     def timing(self, name, seconds):
         """Record one duration in seconds."""
         if self._address is None:
@@ -78,7 +88,7 @@
 
     def _send(self, client, sent_by_name):
         with client.pipeline() as pipeline:
-            for name, total in self.counts_by_name.items():
+            for name, total in self.totals().items():
                 if total != sent_by_name[name]:
                     pipeline.incr(name, total - sent_by_name[name])
                     sent_by_name[name] = total
--- /dev/null
+++ b/shallotbridge/core/node.py
@@ -0,0 +1,672 @@
+"""The node: all parts of one process, wired together."""
+
+import dataclasses
+import time
+
+import trio
+
+from .._generated import configuration_pb2
+from .._generated import peer_pb2
+from . import convergence
+from . import decisions
+from . import directory
+from . import entry
+from . import errors
+from . import forwarding
+from . import gate
+from . import hosts
+from . import keys
+from . import metrics as metrics_module
+from . import model
+from . import owner
+from . import parts
+from . import pauses
+from . import platform as platform_module
+from . import pool
+from . import probes
+from . import retries
+from . import routing
+from . import startup
+from . import store
+from . import suspects
+from . import sync
+from . import topology
+from ..transports import network as network_module
+
+# The gate bounds requests in flight by the service's slots, which never
+# exceed its connections; this only bounds a fault.
+MAXIMUM_UPSTREAM_CONNECTIONS = 1000
+# Health and load probes, one after the other, and an examination.
+PROBE_CONNECTIONS = 2
+CRASH_REPORT_SECONDS = 2.0
+HAND_OVER_SECONDS = 2.0
+HAND_OVER_KEYS = 5_000
+_MILLISECONDS = 1000
+_STATES_BY_KEY_STATE = {
+    keys.KeyState.SEEN: peer_pb2.KeyAnswer.SEEN,
+    keys.KeyState.NOT_SEEN: peer_pb2.KeyAnswer.NOT_SEEN,
+    keys.KeyState.UNCERTAIN: peer_pb2.KeyAnswer.UNCERTAIN,
+}
+_KEY_STATES_BY_STATE = {
+    state: key_state for key_state, state in _STATES_BY_KEY_STATE.items()
+}
+
+
+class Node:
+    """One node; to be made inside a running trio loop.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+    network : network.Network
+    peers : network.Peers
+    platform : network.Platform
+    random : random.Random
+    metrics : metrics.Metrics, optional
+    serve_operator : callable, optional
+        ``await serve_operator(read_status, address, port, task_status)``
+        serves the operator endpoint until cancelled; none by default.
+    clock : callable
+        Monotonic time for the detection of pauses, seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings,
+        network,
+        peers,
+        platform,
+        random,
+        metrics=None,
+        serve_operator=None,
+        clock=time.monotonic,
+    ):
+        self.metrics = metrics or metrics_module.Metrics(address=None)
+        self._settings = settings
+        self._network = network
+        self._random = random
+        self._clock = clock
+        self._serve_operator = serve_operator
+        self._started_at = trio.current_time()
+        self._nursery = None
+        self._is_leaving = False
+        self._ended = trio.Event()
+        self._caller_listener = trio.CancelScope()
+        self._connection_scopes = set()
+        self._peer_bytes = {"sent": 0, "received": 0}
+        self._timer = convergence.ConvergenceTimer()
+        self._budgets_by_service = {}
+        self.own_host = model.Host(
+            host_id=settings.host_id,
+            address=settings.address,
+            service=settings.service,
+            failure_domain=settings.failure_domain,
+        )
+        self._make_distribution(self._counted(peers), self._timed(platform))
+        self._make_admission(network)
+        self._make_call_path(network)
+        self._register_metrics()
+
+    def _make_distribution(self, peers, platform):
+        settings = self._settings
+        self._peers = peers
+        self.store = store.ConfigurationStore()
+        self.hosts = hosts.HostTable()
+        self._topology = topology.Topology(
+            own_host=self.own_host,
+            hosts=self.hosts,
+            seeds=settings.seeds,
+            readers=settings.readers,
+            fan_out=settings.fan_out,
+        )
+        self._reader = platform_module.PlatformReader(
+            platform=platform,
+            store=self.store,
+            hosts=self.hosts,
+            random=self._random,
+            topology=self._topology,
+            failure_domain=settings.failure_domain,
+            watch_wait=settings.watch_wait,
+        )
+        self._sync_client = sync.SyncClient(
+            own_host=self.own_host,
+            store=self.store,
+            hosts=self.hosts,
+            topology=self._topology,
+            peers=peers,
+            random=self._random,
+            poll_wait=settings.poll_wait,
+        )
+        self._sync_server = sync.SyncServer(
+            host_id=settings.host_id,
+            store=self.store,
+            hosts=self.hosts,
+            on_ahead=self._sync_client.request_pull,
+        )
+
+    def _make_admission(self, network):
+        self._keys = keys.KeyWindow(
+            own_host=self.own_host,
+            hosts_of_service=self.hosts.hosts_of_service,
+            lookup=self._look_up_key,
+        )
+        self._suspects = suspects.SuspectTable()
+        self._gate = gate.UpstreamGate(
+            own_host=self.own_host,
+            configuration=lambda: self.store.configuration,
+            keys=self._keys,
+            suspects=self._suspects,
+            examine=self._examine_upstream,
+            report=self._report_crash,
+            record=self._record_admission,
+        )
+        self._probe_pool = pool.ConnectionPool(
+            open_stream=network.open_stream,
+            address=self._settings.address,
+            port=self._settings.upstream_port,
+            maximum=PROBE_CONNECTIONS,
+        )
+
+    def _make_call_path(self, network):
+        settings = self._settings
+        self._pauses = pauses.PauseDetector(
+            sync_once=self._sync_client.sync_once, clock=self._clock
+        )
+        self._directory = directory.OwnerDirectory(
+            own_host=self.own_host, hosts=self.hosts, random=self._random
+        )
+        self._forwarder = forwarding.Forwarder(
+            open_stream=network.open_stream, port=settings.forward_port
+        )
+        self._owner = owner.OwnerServer(
+            own_host=self.own_host,
+            store=self.store,
+            gate=self._gate,
+            open_stream=network.open_stream,
+            maximum_connections=MAXIMUM_UPSTREAM_CONNECTIONS,
+            upstream_port=settings.upstream_port,
+            wait_fresh=self._pauses.wait_fresh,
+        )
+        self._entry = entry.EntryServer(
+            own_host=self.own_host,
+            store=self.store,
+            find_route=routing.find_route,
+            directory=self._directory,
+            forwarder=self._forwarder,
+            run_local=self._owner.run_local,
+            retry_budget_of=self._retry_budget_of,
+            random=self._random,
+            wait_fresh=self._pauses.wait_fresh,
+            on_answered=self._on_answered,
+            record=self._record_routing,
+        )
+
+    # Start and stop.
+
+    async def start(self, nursery):
+        """Bind the ports and start all tasks.
+
+        The node answers from then on; until a configuration is in force it
+        answers that the request was not run.
+
+        Parameters
+        ----------
+        nursery : trio.Nursery
+
+        Raises
+        ------
+        OSError
+            A port cannot be bound.
+        """
+        await nursery.start(self._run)
+
+    async def _run(self, task_status):
+        settings = self._settings
+        address = settings.address
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                nursery.start_soon(self._release_connections_at_end)
+                self._gate.start(nursery)
+                await nursery.start(
+                    self._network.serve,
+                    address,
+                    settings.forward_port,
+                    self._owner.handle,
+                )
+                await nursery.start(
+                    self._peers.serve,
+                    address,
+                    settings.peer_port,
+                    self._peer_handlers(),
+                )
+                await nursery.start(self._serve_callers)
+                if self._serve_operator is not None:
+                    await nursery.start(
+                        self._serve_operator,
+                        self.status,
+                        settings.operator_address or address,
+                        settings.operator_port,
+                    )
+                nursery.start_soon(self._find_configuration)
+                nursery.start_soon(self._follow_configuration)
+                nursery.start_soon(self._reader.run)
+                nursery.start_soon(self._sync_client.run)
+                nursery.start_soon(self._pauses.run)
+                nursery.start_soon(self._probe)
+                nursery.start_soon(self.metrics.run)
+                decisions.record(
+                    "node_started",
+                    chosen=self.own_host.host_id,
+                    address=address,
+                    failure_domain=self.own_host.failure_domain,
+                    service=self.own_host.service,
+                )
+                task_status.started()
+        finally:
+            self._gate.close()
+            self._ended.set()
+
+    async def _serve_callers(self, task_status):
+        with self._caller_listener:
+            await self._network.serve(
+                self._settings.address,
+                self._settings.caller_port,
+                self._handle_caller,
+                task_status=task_status,
+            )
+
+    async def _handle_caller(self, stream):
+        # Shielded, since the listener closes before its connections end.
+        with trio.CancelScope(shield=True) as scope:
+            self._connection_scopes.add(scope)
+            try:
+                await self._entry.handle(stream)
+            finally:
+                self._connection_scopes.discard(scope)
+
+    async def _release_connections_at_end(self):
+        try:
+            await trio.sleep_forever()
+        finally:
+            for scope in self._connection_scopes:
+                scope.cancel()
+
+    async def drain(self):
+        """Stop taking work and wait until all work in progress has ended.
+
+        Then the idempotency keys are handed over. The caller bounds the
+        time.
+        """
+        self._is_leaving = True
+        decisions.record(
+            "node_leaving",
+            chosen=self.own_host.host_id,
+            in_use=self._gate.in_use,
+            queued=self._gate.queued,
+        )
+        self._gate.begin_leaving()
+        self._caller_listener.cancel()
+        self._entry.begin_drain()
+        await self._entry.wait_idle()
+        await self._gate.wait_idle()
+        await self._hand_over_keys()
+        self._owner.begin_drain()
+        await self._owner.wait_idle()
+        decisions.record("node_drained", chosen=self.own_host.host_id)
+
+    async def close(self):
+        """End all tasks and connections at once."""
+        if self._nursery is None:
+            return
+        self._nursery.cancel_scope.cancel()
+        await self._ended.wait()
+        with trio.CancelScope(shield=True):
+            await self._forwarder.close()
+            await self._owner.close()
+            await self._probe_pool.close()
+
+    async def wait_enforcing(self):
+        """Wait until a configuration is in force."""
+        await self.store.wait_enforced()
+
+    # Configuration.
+
+    async def _find_configuration(self):
+        await startup.find_configuration(
+            own_host=self.own_host,
+            store=self.store,
+            hosts=self.hosts,
+            client=self._sync_client,
+            reader=self._reader,
+            seed_hosts=self._topology.seeds,
+            fleet_size=self._settings.fleet_size,
+            random=self._random,
+            start_wait=self._settings.start_wait,
+        )
+
+    async def _follow_configuration(self):
+        head = (await self.store.wait_enforced()).head
+        while True:
+            configuration = self.store.configuration
+            seconds = self._timer.on_in_force(configuration.head)
+            if seconds is not None:
+                self.metrics.timing("convergence_time", seconds)
+            self._gate.on_configuration()
+            for name in (
+                self._budgets_by_service.keys()
+                - configuration.services_by_name.keys()
+            ):
+                del self._budgets_by_service[name]
+            head = await self.store.wait_newer(head)
+
+    def _retry_budget_of(self, service_name):
+        budget = self._budgets_by_service.get(service_name)
+        if budget is None:
+            # Each request adds the ratio of its own route.
+            budget = retries.RetryBudget(retry_ratio=0.0)
+            self._budgets_by_service[service_name] = budget
+        return budget
+
+    def _timed(self, platform):
+        """Note when the platform shows a head first."""
+
+        async def read(key):
+            content = await platform.read(key)
+            if key == parts.HEAD_KEY and content is not None:
+                try:
+                    head = parts.decode_message(
+                        configuration_pb2.Head, content, key
+                    )
+                except errors.MalformedPartError:
+                    # The reader reports it.
+                    return content
+                self._note_seen(head)
+            return content
+
+        return dataclasses.replace(platform, read=read)
+
+    def _counted(self, peers):
+        """Count the bytes of the messages that the Sync modules do not."""
+
+        def counted(call):
+            async def send(address, message, timeout):
+                self._peer_bytes["sent"] += message.ByteSize()
+                answer = await call(address, message, timeout)
+                if answer is not None:
+                    self._peer_bytes["received"] += answer.ByteSize()
+                return answer
+
+            return send
+
+        async def call_sync(address, message, timeout):
+            reply = await peers.sync(address, message, timeout)
+            self._note_seen(reply.head)
+            return reply
+
+        return dataclasses.replace(
+            peers,
+            sync=call_sync,
+            report_crash=counted(peers.report_crash),
+            lookup_key=counted(peers.lookup_key),
+            hand_over=counted(peers.hand_over),
+        )
+
+    def _note_seen(self, head):
+        self._timer.on_seen(
+            model.HeadReference(version=head.version, digest=head.digest)
+        )
+
+    # Messages of peers.
+
+    def _peer_handlers(self):
+        return network_module.PeerHandlers(
+            sync=self._sync_server.sync,
+            report_crash=self._take_crash_report,
+            lookup_key=self._answer_key_query,
+            hand_over=self._take_hand_over,
+        )
+
+    def _is_of_own_service(self, message):
+        self._peer_bytes["received"] += message.ByteSize()
+        return message.service == self.own_host.service
+
+    async def _take_crash_report(self, report):
+        if self._is_of_own_service(report):
+            self._suspects.on_report(report.fingerprints, report.quarantined)
+
+    async def _answer_key_query(self, query):
+        state = keys.KeyState.UNCERTAIN
+        if self._is_of_own_service(query):
+            state = self._keys.look_up(query.key, query.sender)
+        answer = peer_pb2.KeyAnswer(state=_STATES_BY_KEY_STATE[state])
+        self._peer_bytes["sent"] += answer.ByteSize()
+        return answer
+
+    async def _take_hand_over(self, message):
+        if self._is_of_own_service(message):
+            pairs = list(zip(message.keys, message.ages_ms))
+            self._keys.take_over(
+                [key for key, _ in pairs],
+                [age / _MILLISECONDS for _, age in pairs],
+            )
+            decisions.record(
+                "keys_taken_over", candidates=[message.sender], keys=len(pairs)
+            )
+
+    # Messages to peers.
+
+    async def _look_up_key(self, host, key, timeout):
+        answer = await self._peers.lookup_key(
+            host.address,
+            peer_pb2.KeyQuery(
+                sender=self.own_host.host_id,
+                service=self.own_host.service,
+                key=key,
+            ),
+            timeout,
+        )
+        return _KEY_STATES_BY_STATE.get(answer.state, keys.KeyState.UNCERTAIN)
+
+    async def _report_crash(self, finding):
+        """Tell the service's other nodes; ends when all have answered.
+
+        The gate waits for a short time only; the reports go on after it.
+        """
+        is_done = trio.Event()
+        self._nursery.start_soon(self._send_reports, finding, is_done)
+        await is_done.wait()
+
+    async def _send_reports(self, finding, is_done):
+        try:
+            async with trio.open_nursery() as nursery:
+                for host in self._others_of_service():
+                    for fingerprints, is_quarantined in (
+                        (finding.suspects, False),
+                        (finding.quarantined, True),
+                    ):
+                        if fingerprints:
+                            nursery.start_soon(
+                                self._send_report,
+                                host,
+                                fingerprints,
+                                is_quarantined,
+                            )
+        finally:
+            is_done.set()
+
+    async def _send_report(self, host, fingerprints, is_quarantined):
+        report = peer_pb2.CrashReport(
+            sender=self.own_host.host_id,
+            service=self.own_host.service,
+            fingerprints=fingerprints,
+            quarantined=is_quarantined,
+        )
+        try:
+            await self._peers.report_crash(
+                host.address, report, CRASH_REPORT_SECONDS
+            )
+        except errors.PeerUnavailableError as error:
+            decisions.record(
+                "crash_report_failed",
+                candidate=host.host_id,
+                code=error.code,
+                reason=error.detail,
+            )
+
+    def _others_of_service(self):
+        return [
+            host
+            for host in self.hosts.hosts_of_service(self.own_host.service)
+            if host.host_id != self.own_host.host_id
+        ]
+
+    async def _hand_over_keys(self):
+        async with trio.open_nursery() as nursery:
+            for host_id, entries in self._keys.plan_hand_over().items():
+                host = self.hosts.hosts_by_id.get(host_id)
+                if host is not None:
+                    nursery.start_soon(self._hand_over_to, host, entries)
+
+    async def _hand_over_to(self, host, entries):
+        for first in range(0, len(entries), HAND_OVER_KEYS):
+            batch = entries[first : first + HAND_OVER_KEYS]
+            message = peer_pb2.KeyHandOver(
+                sender=self.own_host.host_id,
+                service=self.own_host.service,
+                keys=[entry.key for entry in batch],
+                ages_ms=[round(entry.age * _MILLISECONDS) for entry in batch],
+            )
+            reason = "leaving"
+            try:
+                await self._peers.hand_over(
+                    host.address, message, HAND_OVER_SECONDS
+                )
+            except errors.PeerUnavailableError as error:
+                reason = f"failed with {error.code}: {error.detail}"
+            decisions.record(
+                "keys_handed_over",
+                chosen=host.host_id,
+                keys=len(batch),
+                reason=reason,
+            )
+
+    # The own upstream.
+
+    async def _fetch(self, path):
+        """Read a health or load endpoint of the own upstream."""
+        request = model.Request(
+            method="GET",
+            target=path,
+            headers=(
+                model.Header(name="host", value=self._settings.address),
+                model.Header(
+                    name="x-request-id",
+                    value=f"probe-{self._random.getrandbits(32):08x}",
+                ),
+            ),
+        )
+        deadline = trio.current_time() + probes.TIMEOUT_SECONDS
+        return await self._probe_pool.exchange(request, deadline)
+
+    async def _probe(self):
+        await probes.probe_upstream(
+            fetch=self._fetch, gate=self._gate, random=self._random
+        )
+
+    async def _examine_upstream(self):
+        _, instance_id = await probes.read_health(self._fetch)
+        return instance_id
+
+    # Metrics and status.
+
+    def _on_answered(self, service_name, outcome, seconds):
+        self.metrics.count(f"requests.{outcome}")
+        self.metrics.timing("response_time", seconds)
+
+    def _record_routing(self, action, **fields):
+        code = fields.get("code")
+        if action == "route":
+            self.metrics.count(f"attempts.{code or 'run'}")
+            if fields.get("attempt", 1) > 1:
+                self.metrics.count("retries")
+        decisions.record(action, **fields)
+
+    def _record_admission(self, action, **fields):
+        result = fields.get("result")
+        if action == "admit":
+            name = result.replace(" ", "_")
+            self.metrics.count(f"admissions.{name}")
+        decisions.record(action, **fields)
+
+    def _register_metrics(self):
+        metrics = self.metrics
+        metrics.gauge("version", lambda: self._version_in_force())
+        metrics.gauge("slots.in_use", lambda: self._gate.in_use)
+        metrics.gauge("slots.queued", lambda: self._gate.queued)
+        metrics.gauge("slots.limit", lambda: self._gate.allowed)
+        metrics.total("platform_calls", lambda: self._reader.call_count)
+        metrics.total("versions.rejected", lambda: self.store.rejected_count)
+        metrics.total("versions.conflicts", lambda: self.store.conflict_count)
+        metrics.total("pauses", lambda: self._pauses.pause_count)
+        for direction in ("sent", "received"):
+            metrics.total(
+                f"control_bytes.{direction}",
+                lambda direction=direction: self.control_bytes()[direction],
+            )
+
+    def control_bytes(self):
+        """Return the bytes of control messages by direction.
+
+        Platform values and protobuf messages count; the framing of HTTP and
+        gRPC does not.
+        """
+        return {
+            "sent": self._sync_client.bytes_sent
+            + self._sync_server.bytes_sent
+            + self._peer_bytes["sent"],
+            "received": self._sync_client.bytes_received
+            + self._sync_server.bytes_received
+            + self._reader.bytes_received
+            + self._peer_bytes["received"],
+        }
+
+    def _version_in_force(self):
+        configuration = self.store.configuration
+        return 0 if configuration is None else configuration.head.version
+
+    def status(self):
+        """Return the status as plain values, for the operator endpoint."""
+        configuration = self.store.configuration
+        head = model.NO_HEAD if configuration is None else configuration.head
+        service = None
+        if configuration is not None:
+            service = configuration.services_by_name.get(self.own_host.service)
+        parents = self._topology.parents() + self._topology.remote_parents()
+        return {
+            "host_id": self.own_host.host_id,
+            "address": self.own_host.address,
+            "failure_domain": self.own_host.failure_domain,
+            "service": self.own_host.service,
+            "version": head.version,
+            "digest": head.digest.hex(),
+            "accepted_version": self.store.head.version,
+            "enforcing": configuration is not None,
+            "conflict": self.store.conflict is not None,
+            "is_reader": self._topology.is_reader(),
+            "platform_available": self._reader.is_available,
+            "parents": [parent.host_id for parent in parents],
+            "suspects": sorted(self._topology.suspected_ids()),
+            "hosts_known": len(self.hosts.hosts_by_id),
+            "slots": 0 if service is None else service.upstream.slots,
+            "limit": self._gate.allowed,
+            "in_use": self._gate.in_use,
+            "queued": self._gate.queued,
+            "leaving": self._is_leaving or self._gate.is_leaving,
+            "node_leaving": self._is_leaving,
+            "counters": self.metrics.totals(),
+            "control_bytes": self.control_bytes(),
+            "convergence_seconds": self._timer.last_seconds,
+            "uptime_seconds": trio.current_time() - self._started_at,
+        }
