--- a/shallotbridge/core/errors.py
+++ b/shallotbridge/core/errors.py
@@ -254,10 +254,22 @@
 
 
 class UpstreamRefusedError(CallError):
-    """The upstream itself refused the request and did not run it."""
+    """The upstream itself refused the request and did not run it.
+
+    Parameters
+    ----------
+    detail : str
+    reason : str
+        Value of the upstream's ``x-refused`` header: ``overloaded``,
+        ``cold``, ``leaving`` or ``deadline``.
+    """
 
     code = "SB-3014"
 
+    def __init__(self, detail="", *, reason="overloaded"):
+        super().__init__(detail)
+        self.reason = reason
+
 
 class ColdError(CallError):
     """The upstream is cold and has no capacity left in its ramp."""
--- /dev/null
+++ b/tests/core/test_retries.py
@@ -0,0 +1,44 @@
+"""Tests of the retry budget."""
+
+import hypothesis
+from hypothesis import strategies
+import trio
+import trio.testing
+
+from shallotbridge.core import retries
+
+
+@hypothesis.settings(derandomize=True, deadline=None)
+@hypothesis.given(
+    steps=strategies.lists(
+        strategies.sampled_from(["request", "retry", "wait"]), max_size=300
+    ),
+    ratio=strategies.sampled_from([0.0, 0.1, 0.5]),
+)
+def test_retries_stay_within_the_ratio(steps, ratio):
+    """Guards against retries that multiply an overload."""
+
+    async def check():
+        budget = retries.RetryBudget(retry_ratio=ratio)
+        allowed = 1.0
+        for step in steps:
+            if step == "request":
+                budget.on_request()
+                allowed += ratio
+            elif step == "wait":
+                await trio.sleep(1.0)
+                allowed += retries.CONSTANT_RATE
+            elif budget.try_spend():
+                allowed -= 1.0
+            assert allowed > -1e-6
+
+    trio.run(check, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+async def test_an_idle_service_may_retry(autojump_clock):
+    """Guards against a service with few requests that never retries."""
+    budget = retries.RetryBudget(retry_ratio=0.1)
+    assert budget.try_spend()
+    assert not budget.try_spend()
+    await trio.sleep(1 / retries.CONSTANT_RATE)
+    assert budget.try_spend()
