--- a/shallotbridge/core/gate.py
+++ b/shallotbridge/core/gate.py
@@ -115,6 +115,7 @@
         self._past_instance_ids = collections.deque(
             maxlen=MAXIMUM_PAST_INSTANCES
         )
+        self.reported_load = None
         self._idle = trio.Event()
         self._examination = None
         # Pairs of the time of a reset and a fingerprint in flight then.
@@ -213,6 +214,7 @@
                 self._note(call, error.code, arrived)
                 if key is not None:
                     self._keys.forget(key)
+                self._mark_moved(call, error)
                 raise
             except BaseException:
                 if key is not None:
@@ -401,7 +403,8 @@
             is_run = error.outcome is not errors.Outcome.NOT_RUN
             if not is_run and key is not None:
                 self._keys.forget(key)
-            await self._handle_error(call, entry, error)
+            self._mark_moved(call, error)
+            await self._handle_error(entry, error)
             raise
         except BaseException:
             # Cancelled, or a fault of the sender: the work may still run.
@@ -416,7 +419,7 @@
         self._release(entry)
         return response
 
-    async def _handle_error(self, call, entry, error):
+    async def _handle_error(self, entry, error):
         if isinstance(error, errors.UpstreamRefusedError):
             self._on_refusal(entry, error.reason)
             self._release(entry)
@@ -442,6 +445,16 @@
                 self._limit.on_timeout(entry.started)
             self._release_later(entry)
 
+    def _mark_moved(self, call, error):
+        is_leaving = (
+            isinstance(error, errors.UpstreamRefusedError)
+            and error.reason == "leaving"
+        )
+        if key_window.needs_key_check(call) and (
+            is_leaving or isinstance(error, key_window.MOVING_ERRORS)
+        ):
+            self._keys.mark_moved(key_window.scoped_key(call))
+
     def _on_refusal(self, entry, reason):
         if reason == "cold":
             self._limit.restart()
@@ -574,6 +587,16 @@
             if state is None:
                 self._nursery.start_soon(self._confirm_crash)
 
+    def on_load(self, load):
+        """Keep the load that the upstream reported, for status only.
+
+        Parameters
+        ----------
+        load : tuple of (int, int) or None
+            Slots in use and slots. It may be wrong, so it decides nothing.
+        """
+        self.reported_load = load
+
     def on_configuration(self):
         """Check those that wait against the configuration in force."""
         self._observe_configuration()
--- a/shallotbridge/core/keys.py
+++ b/shallotbridge/core/keys.py
@@ -16,6 +16,13 @@
 # Bytes of a header field and of an entry apart from their text.
 _OVERHEAD_BYTES = 100
 _DIGEST_BYTES = 16
+# Refusals after which the next owner in a key's order may take the key: the
+# owner will not be able to run it for as long as it stays in this state.
+MOVING_ERRORS = (
+    errors.LeavingError,
+    errors.OutOfServiceError,
+    errors.UpstreamUnreachableError,
+)
 
 
 class KeyState(enum.Enum):
@@ -139,6 +146,7 @@
         self._response_bytes = 0
         # Keys that began after this time are all remembered.
         self._complete_since = trio.current_time()
+        self._moved_until_by_key = collections.OrderedDict()
         self._known_hosts_by_id = {}
         self._departures_by_id = {}
 
@@ -223,8 +231,21 @@
         return None
 
     async def _ask_next_owner(self, call, key):
-        if self.covers(key):
+        """Return what this memory and the next owner know of a key.
+
+        A first sending is only looked up if this memory is not complete. A
+        repetition always is: the next owner may have run the first sending
+        while this node could not be reached.
+        """
+        is_covered = self.covers(key)
+        if is_covered and call.attempt == 1:
+            return KeyState.NOT_SEEN
+        state = await self._look_up_elsewhere(call, key)
+        if state is KeyState.UNCERTAIN and is_covered:
             return KeyState.NOT_SEEN
+        return state
+
+    async def _look_up_elsewhere(self, call, key):
         others = [
             host
             for host in self._hosts_of_service(call.route.service)
@@ -255,6 +276,8 @@
         asking host is left out, because it answers for itself.
         """
         self.observe_hosts()
+        if key in self._moved_until_by_key:
+            return False
         if self._complete_since > trio.current_time() - self._window:
             return False
         own_rank = (
@@ -338,6 +361,20 @@
             self._remove(key)
             entry.finished.set()
 
+    def mark_moved(self, key):
+        """Note that another owner may run a key that this one refused."""
+        now = trio.current_time()
+        moved = self._moved_until_by_key
+        moved[key] = now + self._window
+        moved.move_to_end(key)
+        while next(iter(moved.values())) <= now:
+            moved.popitem(last=False)
+        if len(moved) > self._maximum_keys:
+            _, until = moved.popitem(last=False)
+            self._complete_since = max(
+                self._complete_since, until - self._window
+            )
+
     def take_over(self, keys, ages):
         """Enter the keys of a leaving owner.
 
--- /dev/null
+++ b/tests/core/test_keys.py
@@ -0,0 +1,182 @@
+"""Tests of the memory of idempotency keys."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+import trio
+import trio.testing
+
+from shallotbridge.core import errors
+from shallotbridge.core import keys
+from tests import builders
+from tests.core import gates
+
+_OWN = builders.make_host("own")
+_OTHER = builders.make_host("other")
+
+
+def _make_window(hosts=(_OWN,), **options):
+    return keys.KeyWindow(
+        own_host=_OWN, hosts_of_service=lambda name: list(hosts), **options
+    )
+
+
+def _owned_call(**changes):
+    """Return a call whose key belongs to the own host."""
+    for number in range(100):
+        call = gates.make_call(key=f"k{number}", **changes)
+        order = keys.key_order(keys.scoped_key(call), [_OWN, _OTHER])
+        if order[0] is _OWN:
+            return call
+    raise AssertionError("no key belongs to the host")
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
+@hypothesis.given(
+    sendings=strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 3),
+            strategies.floats(0.0, 0.4),
+            strategies.sampled_from(["ok", "not run", "unknown", "cancel"]),
+        ),
+        max_size=40,
+    )
+)
+def test_a_key_never_runs_twice(sendings):
+    """Guards against a second run when sendings of a key overlap."""
+
+    async def check():
+        started = {}
+
+        async def run(number, outcome):
+            call = gates.make_call(
+                number, key=f"k{number}", deadline=trio.current_time() + 0.5
+            )
+
+            async def send(sent):
+                await trio.sleep(0.1)
+                if outcome == "not run":
+                    raise errors.UpstreamRefusedError("full")
+                started[number] = started.get(number, 0) + 1
+                if outcome == "unknown":
+                    raise errors.DeadlineAfterSendError("late")
+                if outcome == "cancel":
+                    scope.cancel()
+                    await trio.sleep(1)
+                return gates.make_response(body=b"%d" % number)
+
+            with trio.CancelScope() as scope:
+                try:
+                    response = await tested.run(call, send)
+                    assert response.body == b"%d" % number
+                except errors.CallError as error:
+                    if error.outcome is errors.Outcome.NOT_RUN:
+                        assert error.is_retry_safe
+
+        async with trio.open_nursery() as nursery:
+            tested, _ = gates.make_gate(nursery, limits={"cold_slots": 6})
+            async with trio.open_nursery() as calls:
+                for number, delay, outcome in sendings:
+                    calls.start_soon(run, number, outcome)
+                    await trio.sleep(delay)
+            nursery.cancel_scope.cancel()
+        assert max(started.values(), default=0) <= 1
+
+    trio.run(check, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+async def test_a_key_of_another_request_is_refused(autojump_clock):
+    """Guards against the response to another caller's request."""
+    window = _make_window()
+    first = gates.make_call(1, key="k")
+    assert await window.reserve(first) is None
+    window.finish(keys.scoped_key(first), gates.make_response())
+    assert await window.reserve(first) == gates.make_response()
+    with pytest.raises(errors.KeySeenError, match="another request"):
+        await window.reserve(gates.make_call(2, key="k"))
+
+
+@pytest.mark.parametrize("answer", [*keys.KeyState, None])
+@pytest.mark.parametrize("attempt", [1, 2])
+@pytest.mark.parametrize("is_young", [True, False])
+async def test_a_repetition_runs_only_on_certain_evidence(
+    autojump_clock, answer, attempt, is_young
+):
+    """Guards against a second run after the key's owner was replaced or
+    could not be reached.
+    """
+
+    async def lookup(host, key, timeout):
+        assert host is _OTHER
+        if answer is None:
+            await trio.sleep(timeout + 1)
+        return answer
+
+    window = _make_window([_OWN, _OTHER], lookup=lookup)
+    window.observe_hosts()
+    if not is_young:
+        await trio.sleep(keys.WINDOW_SECONDS + 1)
+    call = _owned_call(attempt=attempt)
+    is_asked = is_young or attempt > 1
+    is_refused = (is_asked and answer is keys.KeyState.SEEN) or (
+        is_young and attempt > 1 and answer is not keys.KeyState.NOT_SEEN
+    )
+    if is_refused:
+        with pytest.raises(errors.KeySeenError):
+            await window.reserve(call)
+    else:
+        assert await window.reserve(call) is None
+
+
+async def test_a_departed_or_moved_owner_makes_an_answer_uncertain(
+    autojump_clock,
+):
+    """Guards against "not seen" from a node that did not own the key."""
+    hosts = [_OWN, _OTHER]
+    window = _make_window(hosts)
+    window.observe_hosts()
+    await trio.sleep(keys.WINDOW_SECONDS + 1)
+    owned = keys.scoped_key(_owned_call())
+    foreign = next(
+        key
+        for key in (b"%d" % number for number in range(100))
+        if keys.key_order(key, hosts)[0] is _OTHER
+    )
+    hosts.remove(_OTHER)
+    state = keys.KeyState
+    assert window.look_up(owned, "x") is state.NOT_SEEN
+    assert window.look_up(foreign, "x") is state.UNCERTAIN
+    window.mark_moved(owned)
+    assert window.look_up(owned, "x") is state.UNCERTAIN
+    await trio.sleep(keys.WINDOW_SECONDS + 1)
+    assert window.look_up(foreign, "x") is state.NOT_SEEN
+
+
+async def test_the_memory_is_bounded_and_says_when_it_forgot(autojump_clock):
+    """Guards against "not seen" for a key that was dropped early."""
+    window = _make_window(maximum_keys=3, maximum_response_bytes=1000)
+    await trio.sleep(keys.WINDOW_SECONDS + 1)
+    for number in range(5):
+        window.begin(b"%d" % number)
+        window.finish(b"%d" % number, gates.make_response(body=bytes(300)))
+        await trio.sleep(1)
+    assert len(window) == 3
+    assert window.check(b"2").response is None
+    assert window.look_up(b"0", "x") is keys.KeyState.UNCERTAIN
+
+
+async def test_keys_that_are_handed_over_are_seen(autojump_clock):
+    """Guards against a second run after a drain."""
+    old = _make_window([_OWN, _OTHER])
+    call = gates.make_call(key="k")
+    assert await old.reserve(call) is None
+    await trio.sleep(5)
+    plan = old.plan_hand_over()
+    assert list(plan) == ["other"]
+    new = _make_window()
+    new.take_over(
+        [entry.key for entry in plan["other"]],
+        [entry.age for entry in plan["other"]],
+    )
+    with pytest.raises(errors.KeySeenError, match="5.0 s ago"):
+        await new.reserve(call)
--- /dev/null
+++ b/tests/core/test_suspects.py
@@ -0,0 +1,143 @@
+"""Tests of requests that crash upstreams."""
+
+import contextlib
+import functools
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+import trio
+import trio.testing
+
+from shallotbridge.core import errors
+from shallotbridge.core import suspects
+from tests import builders
+from tests.core import gates
+
+_POISON = 999
+
+
+class _Upstream:
+    """Crashes on the poison request, and with it all that it runs."""
+
+    def __init__(self):
+        self.crashes = 0
+        self._crashed = trio.Event()
+
+    @property
+    def instance_id(self):
+        return f"i{self.crashes}"
+
+    async def examine(self):
+        await trio.sleep(0.002)
+        return self.instance_id
+
+    async def send(self, call):
+        if call.request.body == b"%d" % _POISON:
+            await trio.sleep(0.01)
+            self.crashes += 1
+            self._crashed.set()
+            self._crashed = trio.Event()
+            raise errors.OutcomeUnknownError("reset")
+        with trio.move_on_after(0.05):
+            await self._crashed.wait()
+            raise errors.OutcomeUnknownError("reset")
+        return gates.make_response(self.instance_id)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=40)
+@hypothesis.given(
+    owners=strategies.lists(strategies.integers(0, 3), min_size=3, max_size=9),
+    neighbours=strategies.lists(strategies.integers(0, 3), max_size=8),
+    pause=strategies.floats(0.0, 1.0),
+)
+def test_one_request_crashes_at_most_two_upstreams(owners, neighbours, pause):
+    """Guards against a request that takes the service down when its caller
+    sends it again and again, and against neighbours that stay shut out.
+    """
+
+    async def check():
+        tables = [suspects.SuspectTable() for _ in range(4)]
+        upstreams = [_Upstream() for _ in range(4)]
+
+        async def report(sender, finding):
+            await trio.sleep(0.001)
+            for number, table in enumerate(tables):
+                if number != sender:
+                    table.on_report(finding.suspects, False)
+                    table.on_report(finding.quarantined, True)
+
+        async def innocent(number, owner):
+            for attempt in range(20):
+                place = (owner + attempt) % 4
+                with contextlib.suppress(errors.CallError):
+                    await made[place].run(
+                        gates.make_call(number), upstreams[place].send
+                    )
+                    return
+                await trio.sleep(0.05)
+            raise AssertionError("an innocent request never ran")
+
+        async with trio.open_nursery() as nursery:
+            made = [
+                gates.make_gate(
+                    nursery,
+                    limits={"cold_slots": 6},
+                    host=builders.make_host(f"h{number}"),
+                    suspects=tables[number],
+                    examine=upstreams[number].examine,
+                    report=functools.partial(report, number),
+                )[0]
+                for number in range(4)
+            ]
+            for each, upstream in zip(made, upstreams, strict=True):
+                await each.run(gates.make_call(500), upstream.send)
+            async with trio.open_nursery() as calls:
+                for number, owner in enumerate(neighbours):
+                    calls.start_soon(innocent, number, owner)
+                for owner in owners:
+                    with contextlib.suppress(errors.CallError):
+                        await made[owner].run(
+                            gates.make_call(_POISON), upstreams[owner].send
+                        )
+                    await trio.sleep(pause)
+            with pytest.raises(errors.QuarantinedError):
+                await made[0].run(gates.make_call(_POISON), upstreams[0].send)
+            nursery.cancel_scope.cancel()
+        assert sum(upstream.crashes for upstream in upstreams) == 2
+
+    trio.run(check, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+async def test_a_reset_without_a_restart_blames_nobody(
+    autojump_clock, nursery
+):
+    """Guards against quarantine after connections that merely broke."""
+    upstream = _Upstream()
+    table = suspects.SuspectTable()
+    tested, _ = gates.make_gate(
+        nursery, suspects=table, examine=upstream.examine
+    )
+    tested.on_instance("i0")
+
+    async def send(call):
+        raise errors.OutcomeUnknownError("reset")
+
+    for _ in range(3):
+        with pytest.raises(errors.OutcomeUnknownError):
+            await tested.run(gates.make_call(), send)
+    assert len(table) == 0
+
+
+async def test_the_table_is_bounded_and_forgets(autojump_clock):
+    """Guards against memory that grows with crashes, and against a request
+    that is refused for ever.
+    """
+    table = suspects.SuspectTable(maximum_entries=3)
+    table.on_report([b"q"], True)
+    table.on_report([b"%d" % number for number in range(9)], False)
+    assert len(table) == 3
+    assert table.is_quarantined(b"q")
+    await trio.sleep(suspects.QUARANTINE_SECONDS)
+    assert not table.is_quarantined(b"q")
+    assert not table.is_suspect(b"8")
