--- a/shallotbridge/core/errors.py
+++ b/shallotbridge/core/errors.py
@@ -160,6 +160,8 @@
     outcome = Outcome.NOT_RUN
     # True when the same request may be sent again without any risk.
     is_retry_safe = True
+    # True when a connection was lost while the request was in flight.
+    is_reset = False
 
 
 class NoRouteError(CallError):
--- /dev/null
+++ b/shallotbridge/core/forwarding.py
@@ -0,0 +1,158 @@
+"""Forwarding of calls to the owner nodes of other hosts."""
+
+import trio
+
+from . import errors
+from . import http1
+from . import model
+from . import pool
+from . import protocol
+
+FORWARD_PORT = 7401
+# Idle connections kept over all owner nodes; bounds memory and file
+# descriptors of a node that talks to many owners.
+MAXIMUM_IDLE_CONNECTIONS = 32
+# Connections to one owner node. More concurrent calls than this are far
+# beyond the slots and the queue of one upstream.
+MAXIMUM_CONNECTIONS = 256
+# Pools without use for this long are dropped.
+UNUSED_POOL_SECONDS = 60.0
+
+_ERRORS_BY_CODE = errors.errors_by_code()
+
+
+class Forwarder:
+    """Connection pools to owner nodes, by host id.
+
+    Parameters
+    ----------
+    open_stream : callable
+        ``await open_stream(address, port)``, as in ``network.Network``.
+    port : int
+        Port of the owner nodes.
+    """
+
+    def __init__(self, *, open_stream, port=FORWARD_PORT):
+        self._open_stream = open_stream
+        self._port = port
+        self._pools_by_host_id = {}
+        self._sweep_at = 0.0
+
+    async def forward(self, host, call):
+        """Send a call to the owner node of a host.
+
+        Parameters
+        ----------
+        host : model.Host
+        call : model.Call
+
+        Returns
+        -------
+        model.Response
+            With the headers of the owner node, such as its free slots.
+
+        Raises
+        ------
+        errors.CallError
+            The owner node's typed failure, or that of the exchange.
+        """
+        await self._sweep()
+        owner_pool = self._pool_of(host)
+        request = model.Request(
+            method=call.request.method,
+            target=call.request.target,
+            headers=tuple(_owner_headers(host, call)),
+            body=call.request.body,
+        )
+        response = await owner_pool.exchange(request, call.deadline)
+        code = response.header(protocol.CODE)
+        if code is None:
+            if response.header(protocol.OUTCOME) != errors.Outcome.RUN:
+                raise errors.AnswerMismatchError(
+                    f"the answer of {host.host_id} has neither a code nor "
+                    "the outcome 'run'"
+                )
+            return response
+        raise _owner_error(host, code, response)
+
+    def _pool_of(self, host):
+        found = self._pools_by_host_id.get(host.host_id)
+        if found is not None and found.address == host.address:
+            return found
+        # A replaced host may return with its id and another address.
+        self._pools_by_host_id[host.host_id] = found = pool.ConnectionPool(
+            open_stream=self._open_stream,
+            address=host.address,
+            port=self._port,
+            maximum=MAXIMUM_CONNECTIONS,
+            id_header=protocol.REQUEST_ID,
+            is_id_required=True,
+            may_keep=self._may_keep,
+        )
+        return found
+
+    @property
+    def idle_count(self):
+        """Number of idle connections over all owner nodes."""
+        return sum(each.idle_count for each in self._pools_by_host_id.values())
+
+    def _may_keep(self):
+        return self.idle_count < MAXIMUM_IDLE_CONNECTIONS
+
+    async def _sweep(self):
+        """Close old idle connections and drop unused pools."""
+        now = trio.current_time()
+        if now < self._sweep_at:
+            return
+        self._sweep_at = now + pool.IDLE_SECONDS
+        for host_id, each in list(self._pools_by_host_id.items()):
+            await each.close_idle()
+            is_unused = now - each.last_used > UNUSED_POOL_SECONDS
+            if is_unused and not each.in_use and not each.idle_count:
+                self._pools_by_host_id.pop(host_id, None)
+
+    async def close(self):
+        """Close all idle connections."""
+        for each in list(self._pools_by_host_id.values()):
+            await each.close()
+
+
+def _owner_headers(host, call):
+    headers = protocol.without_own_headers(
+        http1.end_to_end_headers(call.request.headers)
+    )
+    if call.request.header("host") is None:
+        headers.append(model.Header(name="host", value=host.address))
+    remaining = protocol.remaining_ms(call.deadline, trio.current_time())
+    version = call.configuration.head.version
+    for name, value in (
+        (protocol.SERVICE, call.route.service),
+        (protocol.ROUTE, call.route.name),
+        (protocol.REQUEST_ID, call.request_id),
+        (protocol.DEADLINE, str(remaining)),
+        (protocol.ATTEMPT, str(call.attempt)),
+        (protocol.RETRIES_LEFT, str(call.retries_left)),
+        (protocol.VERSION, str(version)),
+    ):
+        headers.append(model.Header(name=name, value=value))
+    return headers
+
+
+def _owner_error(host, code, response):
+    """Return the typed error that an owner node reports.
+
+    The outcome that the owner states must be that of the code; otherwise
+    the answer is not trusted and the outcome is unknown.
+    """
+    error_type = _ERRORS_BY_CODE.get(code)
+    stated = response.header(protocol.OUTCOME)
+    if (
+        error_type is None
+        or not issubclass(error_type, errors.CallError)
+        or stated != error_type.outcome
+    ):
+        return errors.AnswerMismatchError(
+            f"the answer of {host.host_id} has code {code!r} and outcome "
+            f"{stated!r}, which do not belong together"
+        )
+    return error_type(f"{host.host_id}: code {code}")
--- /dev/null
+++ b/shallotbridge/core/owner.py
@@ -0,0 +1,229 @@
+"""The owner node: the only sender to the upstream of its host."""
+
+import dataclasses
+
+import trio
+
+from . import errors
+from . import http1
+from . import model
+from . import pool
+from . import protocol
+from . import serving
+
+UPSTREAM_PORT = 8080
+REFUSED = "x-refused"
+REFUSAL_REASONS = frozenset({"overloaded", "cold", "leaving", "deadline"})
+_UPSTREAM_REQUEST_ID = "x-request-id"
+_UPSTREAM_DEADLINE = "x-deadline-ms"
+_REPLACED_NAMES = frozenset({_UPSTREAM_REQUEST_ID, _UPSTREAM_DEADLINE})
+
+
+class OwnerServer:
+    """Runs forwarded calls on the upstream of this host.
+
+    Parameters
+    ----------
+    own_host : model.Host
+    store : object
+        With ``configuration``, as in ``store.ConfigurationStore``.
+    gate : gate.UpstreamGate
+        Admits calls; ``await run(call, send)`` and ``free``.
+    open_stream : callable
+        ``await open_stream(address, port)``, as in ``network.Network``.
+    maximum_connections : int
+        Connections to the upstream that may be open at the same time.
+    upstream_port : int
+    wait_fresh : callable, optional
+        ``await wait_fresh()`` returns once the node's knowledge is fresh
+        after a pause of the process.
+    """
+
+    def __init__(
+        self,
+        *,
+        own_host,
+        store,
+        gate,
+        open_stream,
+        maximum_connections,
+        upstream_port=UPSTREAM_PORT,
+        wait_fresh=None,
+    ):
+        self._own_host = own_host
+        self._store = store
+        self._gate = gate
+        self._wait_fresh = wait_fresh
+        self._pool = pool.ConnectionPool(
+            open_stream=open_stream,
+            address=own_host.address,
+            port=upstream_port,
+            maximum=maximum_connections,
+            id_header=_UPSTREAM_REQUEST_ID,
+        )
+        self._server = serving.ConnectionServer(
+            answer=self._answer, refuse=self._refuse
+        )
+
+    async def handle(self, stream):
+        """Serve a connection of another node until it ends."""
+        await self._server.handle(stream)
+
+    def begin_drain(self):
+        """Close idle connections, and each other one after its answer."""
+        self._server.begin_drain()
+
+    async def wait_idle(self):
+        """Wait until no forwarded request is being served."""
+        await self._server.wait_idle()
+
+    async def close(self):
+        """Close the idle connections to the upstream."""
+        await self._pool.close()
+
+    async def run_local(self, call):
+        """Run a call of this node itself on the upstream of this host.
+
+        Parameters
+        ----------
+        call : model.Call
+
+        Returns
+        -------
+        model.Response
+            With ``x-shallotbridge-free``, like an answer to another node.
+
+        Raises
+        ------
+        errors.CallError
+        """
+        response = await self._gate.run(call, self._send)
+        return dataclasses.replace(
+            response,
+            headers=(
+                *protocol.without_own_headers(
+                    http1.end_to_end_headers(response.headers)
+                ),
+                model.Header(name=protocol.FREE, value=str(self._gate.free)),
+            ),
+        )
+
+    async def _send(self, call):
+        """Send an admitted call to the upstream."""
+        request = model.Request(
+            method=call.request.method,
+            target=call.request.target,
+            headers=tuple(_upstream_headers(call)),
+            body=call.request.body,
+        )
+        response = await self._pool.exchange(request, call.deadline)
+        reason = response.header(REFUSED)
+        if response.status == 503 and reason in REFUSAL_REASONS:
+            error = errors.UpstreamRefusedError(
+                f"the upstream of {self._own_host.host_id} refused: {reason}"
+            )
+            error.reason = reason
+            raise error
+        return response
+
+    async def _answer(self, request):
+        request_id = ""
+        try:
+            request_id = protocol.read_request_id(request) or ""
+            if self._wait_fresh is not None:
+                await self._wait_fresh()
+            call = self._call_of(request, request_id)
+            response = await self.run_local(call)
+        except errors.CallError as error:
+            return self._failure(error, request_id), _nothing
+        headers = (
+            *response.headers,
+            model.Header(name=protocol.REQUEST_ID, value=request_id),
+            model.Header(name=protocol.OUTCOME, value=errors.Outcome.RUN),
+        )
+        return dataclasses.replace(response, headers=headers), _nothing
+
+    def _call_of(self, request, request_id):
+        """Return the call that the headers of the entry node describe.
+
+        The route is that of the configuration in force on this node, so a
+        stale entry node cannot run what this node no longer has.
+        """
+        configuration = self._store.configuration
+        if configuration is None:
+            raise errors.NoConfigurationError(
+                f"{self._own_host.host_id} has no configuration yet"
+            )
+        service_name = request.header(protocol.SERVICE)
+        route_name = request.header(protocol.ROUTE)
+        service = configuration.services_by_name.get(service_name)
+        if service is None or service_name != self._own_host.service:
+            raise errors.UnknownServiceError(
+                f"{self._own_host.host_id} does not own service "
+                f"{service_name!r} in version {configuration.head.version}"
+            )
+        route = service.routes_by_name.get(route_name)
+        if route is None:
+            raise errors.UnknownServiceError(
+                f"service {service_name!r} has no route {route_name!r} in "
+                f"version {configuration.head.version}"
+            )
+        if not request_id:
+            raise errors.BadHeaderError(
+                f"{protocol.REQUEST_ID}: found none; allowed: one"
+            )
+        milliseconds = protocol.read_number(
+            request,
+            protocol.DEADLINE,
+            minimum=0,
+            maximum=protocol.MAXIMUM_DEADLINE_MS,
+            default=round(route.deadline_seconds * 1000),
+        )
+        return model.Call(
+            request=request,
+            request_id=request_id,
+            route=route,
+            configuration=configuration,
+            deadline=trio.current_time() + milliseconds / 1000,
+            retries_left=protocol.read_retries_left(request),
+            attempt=protocol.read_attempt(request),
+            idempotency_key=protocol.read_idempotency_key(request),
+        )
+
+    def _failure(self, error, request_id):
+        headers = [
+            model.Header(name=protocol.OUTCOME, value=error.outcome),
+            model.Header(name=protocol.CODE, value=error.code),
+            model.Header(name=protocol.FREE, value=str(self._gate.free)),
+        ]
+        if request_id:
+            headers.append(
+                model.Header(name=protocol.REQUEST_ID, value=request_id)
+            )
+        return protocol.failure_response(error, headers=headers)
+
+    def _refuse(self, error):
+        return self._failure(error, "")
+
+
+def _nothing():
+    """Do nothing after an answer; the gate writes the owner's log."""
+
+
+def _upstream_headers(call):
+    headers = [
+        header
+        for header in protocol.without_own_headers(
+            http1.end_to_end_headers(call.request.headers)
+        )
+        if header.name not in _REPLACED_NAMES
+    ]
+    remaining = protocol.remaining_ms(call.deadline, trio.current_time())
+    for name, value in (
+        (_UPSTREAM_REQUEST_ID, call.request_id),
+        (_UPSTREAM_DEADLINE, str(remaining)),
+        # For the calls that the upstream makes through its own node.
+        (protocol.RETRIES_LEFT, str(call.retries_left)),
+    ):
+        headers.append(model.Header(name=name, value=value))
+    return headers
--- /dev/null
+++ b/shallotbridge/core/protocol.py
@@ -0,0 +1,142 @@
+"""Headers of the callers' protocol and of the hop between nodes."""
+
+import json
+import re
+
+from . import errors
+from . import model
+
+PREFIX = "x-shallotbridge-"
+REQUEST_ID = PREFIX + "request-id"
+DEADLINE = PREFIX + "deadline-ms"
+ATTEMPT = PREFIX + "attempt"
+RETRIES_LEFT = PREFIX + "retries-left"
+OUTCOME = PREFIX + "outcome"
+CODE = PREFIX + "code"
+RETRY = PREFIX + "retry"
+VERSION = PREFIX + "version"
+SERVICE = PREFIX + "service"
+ROUTE = PREFIX + "route"
+FREE = PREFIX + "free"
+IDEMPOTENCY_KEY = "idempotency-key"
+
+MAXIMUM_DEADLINE_MS = 3_600_000
+MAXIMUM_ATTEMPT = 1000
+MAXIMUM_RETRIES_LEFT = 10
+# Retries of a call whose sender states no number. Each node on a chain of
+# calls passes on what is left, so a higher number multiplies load there.
+DEFAULT_RETRIES_LEFT = 1
+_MILLISECONDS = 1000
+
+_REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}", re.ASCII)
+_KEY = re.compile(r"[\x21-\x7e]{1,255}")
+_NUMBER = re.compile(r"[0-9]{1,9}", re.ASCII)
+
+
+def _single_value(request, name):
+    values = [
+        header.value for header in request.headers if header.name == name
+    ]
+    if len(values) > 1:
+        raise errors.BadHeaderError(
+            f"{name}: found {len(values)} headers; allowed: one"
+        )
+    return values[0] if values else None
+
+
+def read_number(request, name, *, minimum, maximum, default):
+    """Return the number that a header carries.
+
+    Raises
+    ------
+    errors.BadHeaderError
+        The value is not a decimal number within the bounds.
+    """
+    value = _single_value(request, name)
+    if value is None:
+        return default
+    if _NUMBER.fullmatch(value) and minimum <= int(value) <= maximum:
+        return int(value)
+    raise errors.BadHeaderError(
+        f"{name}: found {value!r}; allowed: {minimum} to {maximum}"
+    )
+
+
+def read_request_id(request):
+    """Return the request id that a request carries, or None."""
+    value = _single_value(request, REQUEST_ID)
+    if value is None or _REQUEST_ID.fullmatch(value):
+        return value
+    raise errors.BadHeaderError(
+        f"{REQUEST_ID}: found {value!r}; allowed: 1 to 128 letters, digits "
+        "and . _ : -"
+    )
+
+
+def read_idempotency_key(request):
+    """Return the idempotency key that a request carries, or None."""
+    value = _single_value(request, IDEMPOTENCY_KEY)
+    if value is None or _KEY.fullmatch(value):
+        return value
+    raise errors.BadHeaderError(
+        f"{IDEMPOTENCY_KEY}: found {value!r}; allowed: 1 to 255 printable "
+        "ASCII characters without spaces"
+    )
+
+
+def read_attempt(request):
+    """Return which sending of a request its sender says this is."""
+    return read_number(
+        request, ATTEMPT, minimum=1, maximum=MAXIMUM_ATTEMPT, default=1
+    )
+
+
+def read_retries_left(request):
+    """Return the number of retries that may still be made."""
+    return read_number(
+        request,
+        RETRIES_LEFT,
+        minimum=0,
+        maximum=MAXIMUM_RETRIES_LEFT,
+        default=DEFAULT_RETRIES_LEFT,
+    )
+
+
+def remaining_ms(deadline, now):
+    """Return the whole milliseconds until a deadline, 0 or more.
+
+    Examples
+    --------
+    >>> remaining_ms(2.0, 1.5), remaining_ms(1.0, 1.5)
+    (500, 0)
+    """
+    return max(0, int((deadline - now) * _MILLISECONDS))
+
+
+def without_own_headers(headers):
+    """Return the headers that do not belong to this protocol."""
+    return [header for header in headers if not header.name.startswith(PREFIX)]
+
+
+def failure_response(error, *, headers):
+    """Return the response for a failure, with its fields as JSON.
+
+    Parameters
+    ----------
+    error : errors.CallError
+    headers : list of model.Header
+        Headers of this protocol; they become fields of the body.
+    """
+    fields = {
+        header.name.removeprefix(PREFIX).replace("-", "_"): header.value
+        for header in headers
+    }
+    fields["detail"] = error.detail
+    return model.Response(
+        status=error.status,
+        headers=(
+            *headers,
+            model.Header(name="content-type", value="application/json"),
+        ),
+        body=json.dumps(fields, sort_keys=True).encode() + b"\n",
+    )
--- /dev/null
+++ b/tests/core/streams.py
@@ -0,0 +1,72 @@
+"""Streams and servers for tests of the call path."""
+
+import trio
+
+from shallotbridge.core import http1
+from shallotbridge.core import model
+
+
+class ScriptedStream(trio.abc.Stream):
+    """Gives the listed pieces to its reader and records what is sent."""
+
+    def __init__(self, pieces):
+        self._pieces = list(pieces)
+        self.sent = b""
+
+    async def receive_some(self, max_bytes=None):
+        return self._pieces.pop(0) if self._pieces else b""
+
+    async def send_all(self, data):
+        self.sent += data
+
+    async def wait_send_all_might_not_block(self):
+        pass
+
+    async def aclose(self):
+        self._pieces = []
+
+
+class CountingServer:
+    """Accepts memory streams and counts the requests that it ran.
+
+    ``behave(stream, reader)`` is called for each connection; the default
+    answers all requests.
+    """
+
+    def __init__(self, nursery, behave=None):
+        self._nursery = nursery
+        self._behave = behave or self.answer_all
+        self.requests = []
+        self.connections = 0
+
+    async def open_stream(self, address, port):
+        near, far = trio.testing.memory_stream_pair()
+        self.connections += 1
+        self._nursery.start_soon(
+            self._behave, far, http1.RequestReader(stream=far)
+        )
+        return near
+
+    async def run(self, reader):
+        """Read one request and count it as run."""
+        if not await reader.wait_request():
+            return None
+        request = await reader.read()
+        self.requests.append(request)
+        return request
+
+    async def answer_all(self, stream, reader):
+        while request := await self.run(reader):
+            await stream.send_all(answer_bytes(request))
+
+
+def answer_bytes(request, status=200, headers=(), body=b"done"):
+    """Return an answer that echoes the ids of a request."""
+    echoed = tuple(
+        header
+        for header in request.headers
+        if header.name in ("x-request-id", "x-shallotbridge-request-id")
+    )
+    return http1.encode_response(
+        model.Response(status=status, headers=echoed + headers, body=body)
+    )
--- /dev/null
+++ b/tests/core/test_http1.py
@@ -0,0 +1,241 @@
+"""Tests of reading and writing HTTP/1.1 messages."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+import trio
+import trio.testing
+
+from shallotbridge.core import errors
+from shallotbridge.core import http1
+from shallotbridge.core import model
+from tests.core import streams
+
+HOST = b"Host: a\r\n"
+GET = b"GET /stock HTTP/1.1\r\n" + HOST + b"\r\n"
+SIZED = b"POST /r HTTP/1.1\r\n" + HOST + b"Content-Length: 5\r\n\r\nhello"
+CHUNKED = (
+    b"POST /r HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n\r\n"
+    b"3;a=b\r\na\r\n\r\n4\r\n\r\n\r\n\r\n0\r\nX-T: 1\r\n\r\n"
+)
+MESSAGES = (GET, SIZED, CHUNKED)
+ANSWER_SIZED = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+ANSWER_CHUNKED = (
+    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"
+)
+
+property_test = hypothesis.settings(
+    derandomize=True, max_examples=300, deadline=None, database=None
+)
+
+
+def run(function, *arguments):
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(function, *arguments, clock=clock)
+
+
+async def read_all(pieces):
+    """Return the requests of a connection and the error that ended it."""
+    reader = http1.RequestReader(stream=streams.ScriptedStream(pieces))
+    requests = []
+    try:
+        while await reader.wait_request():
+            requests.append(await reader.read())
+    except errors.FramingError as error:
+        return requests, type(error)
+    return requests, None
+
+
+async def read_answer(pieces, method="GET"):
+    reader = http1.ResponseReader(stream=streams.ScriptedStream(pieces))
+    try:
+        return await reader.read(method)
+    except errors.OutcomeUnknownError as error:
+        return type(error)
+
+
+def split(data, cuts):
+    places = sorted({cut % (len(data) + 1) for cut in cuts} | {0, len(data)})
+    pieces = [data[a:b] for a, b in zip(places, places[1:], strict=False)]
+    return [piece for piece in pieces if piece]
+
+
+cut_lists = strategies.lists(strategies.integers(0, 5000), max_size=40)
+mutations = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, 5000),
+        strategies.sampled_from(list(b"\r\n\0 :,;09aZ\t\x7f\xff")),
+        strategies.booleans(),
+    ),
+    min_size=1,
+    max_size=3,
+)
+
+
+def mutate(data, changes):
+    data = bytearray(data)
+    for place, byte, is_inserted in changes:
+        place %= len(data)
+        data[place : place + (not is_inserted)] = bytes([byte])
+    return bytes(data)
+
+
+@property_test
+@hypothesis.given(
+    strategies.lists(strategies.sampled_from(MESSAGES), max_size=4), cut_lists
+)
+def test_any_split_gives_the_same_requests(messages, cuts):
+    """Guards against a message boundary that depends on packet sizes."""
+    data = b"".join(messages)
+    requests, error = run(read_all, split(data, cuts))
+    assert error is None
+    bodies = {GET: b"", SIZED: b"hello", CHUNKED: b"a" + b"\r\n" * 3}
+    assert [each.body for each in requests] == [bodies[m] for m in messages]
+
+
+@property_test
+@hypothesis.given(strategies.sampled_from(MESSAGES), mutations, cut_lists)
+def test_mutated_requests_never_desynchronise(message, changes, cuts):
+    """Guards against other exceptions and against a request that is read
+    differently when its bytes arrive otherwise."""
+    data = mutate(message, changes) + GET
+    assert run(read_all, [data]) == run(read_all, split(data, cuts))
+
+
+@property_test
+@hypothesis.given(
+    strategies.sampled_from((ANSWER_SIZED, ANSWER_CHUNKED)),
+    mutations,
+    cut_lists,
+)
+def test_mutated_answers_give_an_answer_or_a_typed_error(
+    message, changes, cuts
+):
+    """Guards against an untyped failure on the upstream's side."""
+    run(read_answer, split(mutate(message, changes), cuts))
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        b"Content-Length: 5\r\nContent-Length: 5\r\n",
+        b"Content-Length: 5, 5\r\n",
+        b"Content-Length: +5\r\n",
+        b"Content-Length: \r\n",
+        b"Transfer-Encoding: gzip, chunked\r\n",
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: identity\r\n",
+        b"X: a\n",
+        b"X: a\r\n b\r\n",
+        b"X: a\0b\r\n",
+        b"X: a\rb\r\n",
+        b"X : a\r\n",
+        b"Host: b\r\n",
+        b"Expect: more\r\n",
+    ],
+)
+async def test_ambiguous_framing_is_refused(head):
+    """Guards against request smuggling."""
+    data = b"POST /r HTTP/1.1\r\n" + HOST + head + b"\r\nhello"
+    assert await read_all([data]) == ([], errors.FramingError)
+
+
+@pytest.mark.parametrize(
+    "data, expected",
+    [
+        (b"GET / HTTP/1.1\r\n\r\n", errors.FramingError),
+        (b"GET / HTTP/2.0\r\nHost: a\r\n\r\n", errors.FramingError),
+        (b"GET http://b/ HTTP/1.1\r\nHost: a\r\n\r\n", errors.FramingError),
+        (b"GET / HTTP/1.1\nHost: a\n\n", errors.FramingError),
+        (GET[:-1], errors.FramingError),
+        (SIZED[:-1], errors.FramingError),
+        (CHUNKED[:-1], errors.FramingError),
+        (GET[:-2] + b"X: " + b"x" * 32768, errors.HeadTooLargeError),
+        (
+            SIZED.replace(b": 5", b": 1048577"),
+            errors.BodyTooLargeError,
+        ),
+        (
+            CHUNKED[: CHUNKED.index(b"3;")]
+            + b"80000\r\n"
+            + b"\0" * 0x80000
+            + b"\r\n80001\r\n"
+            + b"\0" * 0x80001
+            + b"\r\n0\r\n\r\n",
+            errors.BodyTooLargeError,
+        ),
+    ],
+)
+async def test_incomplete_and_oversized_requests_are_typed(data, expected):
+    """Guards against unbounded memory and half requests that are run."""
+    assert await read_all([data]) == ([], expected)
+
+
+@pytest.mark.parametrize(
+    "data, expected",
+    [
+        (ANSWER_SIZED[:-1], errors.OutcomeUnknownError),
+        (ANSWER_CHUNKED[:-1], errors.OutcomeUnknownError),
+        (ANSWER_SIZED + b"H", errors.AnswerMismatchError),
+        (ANSWER_CHUNKED + ANSWER_SIZED, errors.AnswerMismatchError),
+        (b"HTTP/1.1 200 OK\r\n\r\ndone", errors.AnswerMismatchError),
+        (b"HTTP/1.1 101 Go\r\n\r\n", errors.AnswerMismatchError),
+        (
+            ANSWER_SIZED.replace(b": 4", b": 8388609"),
+            errors.AnswerTooLargeError,
+        ),
+    ],
+)
+async def test_unacceptable_answers_are_typed(data, expected):
+    """Guards against truncated or crossed answers passed to a caller."""
+    assert await read_answer([data]) is expected
+
+
+async def test_answers_without_a_body_end_with_their_head():
+    """Guards against waiting for the body of an answer to HEAD or 304."""
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+    assert (await read_answer([head], "HEAD")).body == b""
+    unchanged = await read_answer([head.replace(b"200 OK", b"304 Same")])
+    assert unchanged.body == b""
+    answer = model.Response(status=200, headers=(), body=b"done")
+    assert http1.encode_response(answer, method="HEAD").endswith(
+        b"content-length: 4\r\n\r\n"
+    )
+
+
+async def test_a_client_that_expects_100_gets_it_before_its_body():
+    """Guards against a client and a node that wait for each other."""
+    head, body = SIZED[:-9] + b"\r\nExpect: 100-continue\r\n\r\n", b"hello"
+    stream = streams.ScriptedStream([head, body])
+    reader = http1.RequestReader(stream=stream)
+    await reader.wait_request()
+    assert (await reader.read()).body == body
+    assert stream.sent == b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+async def test_slow_requests_end_in_a_typed_error(autojump_clock):
+    """Guards against connections held by clients that send slowly."""
+    near, far = trio.testing.memory_stream_pair()
+    reader = http1.RequestReader(stream=far)
+    await near.send_all(GET[:-1])
+    assert await reader.wait_request()
+    with pytest.raises(errors.FramingError, match="did not arrive"):
+        await reader.read()
+    assert not await http1.RequestReader(stream=far).wait_request()
+
+
+@pytest.mark.parametrize(
+    "name, value",
+    [("x", "a\r\nb: c"), ("x", "a\0"), ("x\r\ny", "a"), ("x", "\u20ac")],
+)
+async def test_headers_cannot_be_injected(name, value):
+    """Guards against a header value that ends its line."""
+    headers = (model.Header(name=name, value=value),)
+    with pytest.raises(errors.BadHeaderError):
+        http1.encode_response(model.Response(status=200, headers=headers))
+    with pytest.raises(errors.BadHeaderError):
+        http1.encode_request(
+            model.Request(method="GET", target="/ HTTP/1.1", headers=())
+        )
