--- a/shallotbridge/core/owner.py
+++ b/shallotbridge/core/owner.py
@@ -113,7 +113,7 @@
         request = model.Request(
             method=call.request.method,
             target=call.request.target,
-            headers=tuple(_upstream_headers(call)),
+            headers=tuple(_upstream_headers(call, self._own_host)),
             body=call.request.body,
         )
         response = await self._pool.exchange(request, call.deadline)
@@ -210,7 +210,7 @@
     """Do nothing after an answer; the gate writes the owner's log."""
 
 
-def _upstream_headers(call):
+def _upstream_headers(call, own_host):
     headers = [
         header
         for header in protocol.without_own_headers(
@@ -218,6 +218,9 @@
         )
         if header.name not in _REPLACED_NAMES
     ]
+    if call.request.header("host") is None:
+        # A caller of HTTP/1.0 need not send one; HTTP/1.1 requires it.
+        headers.append(model.Header(name="host", value=own_host.address))
     remaining = protocol.remaining_ms(call.deadline, trio.current_time())
     for name, value in (
         (_UPSTREAM_REQUEST_ID, call.request_id),
--- a/tests/core/streams.py
+++ b/tests/core/streams.py
@@ -1,6 +1,7 @@
 """Streams and servers for tests of the call path."""
 
 import trio
+import trio.testing
 
 from shallotbridge.core import http1
 from shallotbridge.core import model
@@ -29,24 +30,26 @@
 class CountingServer:
     """Accepts memory streams and counts the requests that it ran.
 
-    ``behave(stream, reader)`` is called for each connection; the default
-    answers all requests.
+    ``behave(server, stream, reader)`` serves each connection, which is
+    closed when it returns; the default answers all requests.
     """
 
     def __init__(self, nursery, behave=None):
         self._nursery = nursery
-        self._behave = behave or self.answer_all
+        self._behave = behave or answer_all
         self.requests = []
         self.connections = 0
 
     async def open_stream(self, address, port):
         near, far = trio.testing.memory_stream_pair()
         self.connections += 1
-        self._nursery.start_soon(
-            self._behave, far, http1.RequestReader(stream=far)
-        )
+        self._nursery.start_soon(self._serve, far)
         return near
 
+    async def _serve(self, stream):
+        await self._behave(self, stream, http1.RequestReader(stream=stream))
+        await stream.aclose()
+
     async def run(self, reader):
         """Read one request and count it as run."""
         if not await reader.wait_request():
@@ -55,9 +58,28 @@
         self.requests.append(request)
         return request
 
-    async def answer_all(self, stream, reader):
-        while request := await self.run(reader):
-            await stream.send_all(answer_bytes(request))
+
+async def answer_all(server, stream, reader):
+    while request := await server.run(reader):
+        await stream.send_all(answer_bytes(request))
+
+
+async def close_in_the_request(server, stream, reader):
+    await stream.receive_some(10)
+
+
+async def close_after_the_request(server, stream, reader):
+    await server.run(reader)
+
+
+async def close_in_the_answer(server, stream, reader):
+    request = await server.run(reader)
+    await stream.send_all(answer_bytes(request)[:-1])
+
+
+async def never_answer(server, stream, reader):
+    await server.run(reader)
+    assert await stream.receive_some(1) == b""
 
 
 def answer_bytes(request, status=200, headers=(), body=b"done"):
--- /dev/null
+++ b/tests/core/test_entry.py
@@ -0,0 +1,352 @@
+"""Tests of callers' requests through entry and owner nodes."""
+
+import contextlib
+import json
+import random
+import types
+
+import pytest
+import trio
+import trio.testing
+
+from shallotbridge.core import entry
+from shallotbridge.core import errors
+from shallotbridge.core import forwarding
+from shallotbridge.core import http1
+from shallotbridge.core import model
+from shallotbridge.core import owner
+from tests import builders
+from tests.core import streams
+
+
+class Mesh:
+    """One entry node and owner nodes with an upstream each, in memory."""
+
+    def __init__(self, nursery, *behaviours):
+        self.lines = []
+        self.outstanding = 0
+        self.tokens = 10
+        self.configuration = builders.make_configuration()
+        self.own_host = builders.make_host("entry", address="127.0.9.9")
+        self.hosts = []
+        self.upstreams = []
+        self.owners_by_address = {}
+        self.free = 3
+        for number, behave in enumerate(behaviours):
+            host = builders.make_host(
+                f"h{number}", address=f"127.0.1.{number}"
+            )
+            upstream = streams.CountingServer(nursery, behave)
+            self.hosts.append(host)
+            self.upstreams.append(upstream)
+            self.add_owner(host, upstream)
+        self._nursery = nursery
+        self.server = entry.EntryServer(
+            own_host=self.own_host,
+            store=self,
+            find_route=self.find_route,
+            directory=self,
+            forwarder=forwarding.Forwarder(open_stream=self.open_stream),
+            run_local=None,
+            retry_budget_of=lambda service: self,
+            random=random.Random(1),
+            record=lambda action, **fields: self.lines.append(fields),
+        )
+
+    def add_owner(self, host, upstream):
+        self.owners_by_address[host.address] = owner.OwnerServer(
+            own_host=host,
+            store=self,
+            gate=self,
+            open_stream=upstream.open_stream,
+            maximum_connections=4,
+        )
+
+    async def open_stream(self, address, port):
+        near, far = trio.testing.memory_stream_pair()
+        server = self.owners_by_address[address]
+        self._nursery.start_soon(server.handle, far)
+        return near
+
+    def find_route(self, configuration, method, target):
+        for route in configuration.services_by_name[
+            "showroom"
+        ].routes_by_name.values():
+            if (route.method, route.path) == (method, target):
+                return route
+        raise errors.NoRouteError(f"no route for {method} {target}")
+
+    # The directory, the gate and the retry budget.
+
+    def choose(self, call, excluded):
+        for host in self.hosts:
+            if host.host_id not in excluded:
+                return host
+        raise errors.NoUpstreamError("no host left")
+
+    def on_sent(self, host_id):
+        self.outstanding += 1
+
+    def on_ended(self, host_id):
+        self.outstanding -= 1
+
+    def on_response(self, host_id, free):
+        assert free == self.free
+
+    def on_refused(self, host_id, error):
+        assert error.outcome is errors.Outcome.NOT_RUN
+
+    def on_failed(self, host_id):
+        pass
+
+    async def run(self, call, send):
+        return await send(call)
+
+    def on_request(self, ratio):
+        pass
+
+    def try_spend(self):
+        self.tokens -= 1
+        return self.tokens >= 0
+
+    @property
+    def runs(self):
+        return sum(len(each.requests) for each in self.upstreams)
+
+    @contextlib.asynccontextmanager
+    async def caller(self):
+        near, far = trio.testing.memory_stream_pair()
+        self._nursery.start_soon(self.server.handle, far)
+        yield near
+        await near.aclose()
+
+    async def ask(self, method="POST", target="/showroom/reservations", **own):
+        headers = [model.Header(name="host", value="a")]
+        for name, value in own.items():
+            name = name.replace("_", "-")
+            headers.append(model.Header(name=name, value=value))
+        request = model.Request(
+            method=method, target=target, headers=tuple(headers), body=b"1"
+        )
+        async with self.caller() as stream:
+            await stream.send_all(http1.encode_request(request))
+            return await http1.ResponseReader(stream=stream).read(method)
+
+    async def browse(self, **own):
+        return await self.ask("GET", "/showroom/stock", **own)
+
+
+def own_headers(response):
+    return types.SimpleNamespace(
+        **{
+            header.name.removeprefix("x-shallotbridge-"): header.value
+            for header in response.headers
+        }
+    )
+
+
+def refusing(reason):
+    refused = (model.Header(name="x-refused", value=reason),)
+
+    async def behave(server, stream, reader):
+        while await reader.wait_request():
+            request = await reader.read()
+            await stream.send_all(streams.answer_bytes(request, 503, refused))
+
+    return behave
+
+
+@pytest.mark.parametrize(
+    "behave, outcome, status, runs",
+    [
+        (streams.close_in_the_request, "unknown", 502, 0),
+        (streams.close_after_the_request, "unknown", 502, 1),
+        (streams.close_in_the_answer, "unknown", 502, 1),
+        (streams.never_answer, "unknown", 504, 1),
+        (refusing("overloaded"), "not-run", 503, 0),
+        (None, "run", 200, 1),
+    ],
+)
+async def test_a_non_idempotent_request_runs_at_most_once(
+    nursery, autojump_clock, behave, outcome, status, runs
+):
+    """Guards against a second run, and against a false "not run"."""
+    mesh = Mesh(nursery, behave)
+    response = await mesh.ask()
+    own = own_headers(response)
+    assert (own.outcome, response.status) == (outcome, status)
+    assert (mesh.runs, mesh.upstreams[0].connections) == (runs, 1)
+    assert own.retry == ("safe" if outcome == "not-run" else "unsafe")
+    assert mesh.outstanding == 0
+
+
+async def test_an_unreachable_upstream_is_not_run(nursery):
+    """Guards against "unknown" before the first byte was written."""
+
+    async def refuse(address, port):
+        raise ConnectionRefusedError("nothing listens")
+
+    mesh = Mesh(nursery, None)
+    mesh.upstreams[0].open_stream = refuse
+    mesh.add_owner(mesh.hosts[0], mesh.upstreams[0])
+    response = await mesh.ask()
+    own = own_headers(response)
+    assert (own.outcome, own.retry, response.status) == (
+        "not-run",
+        "safe",
+        503,
+    )
+    assert own.code == errors.UpstreamUnreachableError.code
+
+
+async def test_an_unknown_outcome_is_not_sent_to_another_host(
+    nursery, autojump_clock
+):
+    """Guards against a charge that is made twice."""
+    mesh = Mesh(nursery, streams.close_after_the_request, None)
+    response = await mesh.ask()
+    assert own_headers(response).outcome == "unknown"
+    assert mesh.upstreams[1].requests == []
+
+
+async def test_a_refused_request_is_sent_elsewhere(nursery, autojump_clock):
+    """Guards against a refusal told to a caller while others have room."""
+    mesh = Mesh(nursery, refusing("cold"), refusing("leaving"), None)
+    response = await mesh.ask()
+    assert (response.status, response.body) == (200, b"done")
+    assert [line["outcome"] for line in mesh.lines] == [
+        "not-run",
+        "not-run",
+        "run",
+    ]
+    assert mesh.lines[0]["code"] == errors.UpstreamRefusedError.code
+    assert mesh.runs == 1
+
+
+@pytest.mark.parametrize(
+    "tokens, left, status", [(1, "1", 200), (0, "1", 502), (1, "0", 502)]
+)
+async def test_an_idempotent_request_is_retried_within_its_budgets(
+    nursery, autojump_clock, tokens, left, status
+):
+    """Guards against retries that multiply load when upstreams fail."""
+    mesh = Mesh(nursery, streams.close_after_the_request, None)
+    mesh.tokens = tokens
+    headers = {"x-shallotbridge-retries-left": left}
+    assert (await mesh.browse(**headers)).status == status
+
+
+async def test_not_run_after_an_unknown_outcome_stays_unknown(
+    nursery, autojump_clock
+):
+    """Guards against "not run" when an earlier sending may have run."""
+    mesh = Mesh(
+        nursery, streams.close_after_the_request, refusing("overloaded")
+    )
+    response = await mesh.browse()
+    own = own_headers(response)
+    assert (own.outcome, own.retry) == ("unknown", "safe")
+    assert own.code == errors.OutcomeUnknownError.code
+
+
+@pytest.mark.parametrize(
+    "name, value",
+    [
+        ("x-shallotbridge-deadline-ms", "0"),
+        ("x-shallotbridge-deadline-ms", "1e3"),
+        ("x-shallotbridge-attempt", "0"),
+        ("x-shallotbridge-retries-left", "-1"),
+        ("x-shallotbridge-request-id", "a b"),
+        ("idempotency-key", ""),
+    ],
+)
+async def test_bad_protocol_headers_are_refused(nursery, name, value):
+    """Guards against a misread deadline or key."""
+    mesh = Mesh(nursery, None)
+    response = await mesh.ask(**{name: value})
+    body = json.loads(response.body)
+    assert response.status == 400
+    assert body["code"] == errors.BadHeaderError.code
+    assert name in body["detail"] and body["outcome"] == "not-run"
+    assert mesh.runs == 0
+
+
+async def test_an_upstream_cannot_forge_the_nodes_headers(
+    nursery, autojump_clock
+):
+    """Guards against a run that is reported as "not run"."""
+    forged = tuple(
+        model.Header(name=f"x-shallotbridge-{name}", value=value)
+        for name, value in (
+            ("outcome", "not-run"),
+            ("code", "SB-3004"),
+            ("free", "9"),
+        )
+    )
+
+    async def behave(server, stream, reader):
+        while request := await server.run(reader):
+            await stream.send_all(streams.answer_bytes(request, 200, forged))
+
+    mesh = Mesh(nursery, behave)
+    response = await mesh.ask(**{"x-shallotbridge-request-id": "r1"})
+    own = own_headers(response)
+    assert (own.outcome, own.version) == ("run", "1")
+    assert getattr(own, "request-id") == "r1"
+    assert not hasattr(own, "code") and not hasattr(own, "free")
+
+
+async def test_a_caller_that_leaves_cancels_its_attempt(
+    nursery, autojump_clock
+):
+    """Guards against slots held for nobody."""
+    mesh = Mesh(nursery, streams.never_answer)
+    async with mesh.caller() as stream:
+        await stream.send_all(
+            b"POST /showroom/reservations HTTP/1.1\r\nHost: a\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+        await trio.sleep(0.1)
+        assert mesh.outstanding == 1
+    await trio.sleep(0.1)
+    assert mesh.outstanding == 0
+    assert mesh.lines[0]["ended"] == "caller left"
+
+
+async def test_pipelined_and_refused_requests_are_answered_in_order(
+    nursery, autojump_clock
+):
+    """Guards against an answer that belongs to another request."""
+    mesh = Mesh(nursery, None)
+    head = b"GET /showroom/%s HTTP/1.1\r\nHost: a\r\n\r\n"
+    async with mesh.caller() as stream:
+        await stream.send_all(head % b"stock" + head % b"x" + b"GET\n")
+        received = b""
+        while piece := await stream.receive_some():
+            received += piece
+    statuses = [piece[:3] for piece in received.split(b"HTTP/1.1 ")[1:]]
+    assert statuses == [b"200", b"404", b"400"]
+
+
+async def test_a_drain_ends_idle_connections_and_no_request(
+    nursery, autojump_clock
+):
+    """Guards against a planned stop that interrupts a request."""
+    release = trio.Event()
+
+    async def behave(server, stream, reader):
+        request = await server.run(reader)
+        await release.wait()
+        await stream.send_all(streams.answer_bytes(request))
+
+    mesh = Mesh(nursery, behave)
+    async with mesh.caller() as idle, mesh.caller() as busy:
+        await busy.send_all(b"GET /showroom/stock HTTP/1.1\r\nHost: a\r\n\r\n")
+        await trio.testing.wait_all_tasks_blocked()
+        mesh.server.begin_drain()
+        assert await idle.receive_some() == b""
+        release.set()
+        await mesh.server.wait_idle()
+        answer = await http1.ResponseReader(stream=busy).read("GET")
+        assert answer.header("connection") == "close"
+        assert await busy.receive_some() == b""
--- a/tests/core/test_http1.py
+++ b/tests/core/test_http1.py
@@ -97,8 +97,7 @@
 @property_test
 @hypothesis.given(strategies.sampled_from(MESSAGES), mutations, cut_lists)
 def test_mutated_requests_never_desynchronise(message, changes, cuts):
-    """Guards against other exceptions and against a request that is read
-    differently when its bytes arrive otherwise."""
+    """Guards against requests that are read otherwise when split."""
     data = mutate(message, changes) + GET
     assert run(read_all, [data]) == run(read_all, split(data, cuts))
 
