Fix import order of the process module

Cause: hacking orders relative imports by their resolved path. Change: order only; the error of a port that cannot be bound is split from its group.

--- a/shallotbridge/core/process.py
+++ b/shallotbridge/core/process.py
@@ -12,9 +12,9 @@
 from . import logs
 from . import metrics
 from . import node as node_module
+from ..operator import server as operator_server
 from . import platform
 from . import settings as settings_module
-from ..operator import server as operator_server
 from ..transports import grpc_peer
 from ..transports import tcp
 
@@ -82,8 +82,11 @@
         async with trio.open_nursery() as nursery:
             try:
                 await node.start(nursery)
-            except* OSError as group:
-                for error in _leaves(group):
+            except BaseExceptionGroup as group:
+                os_errors, others = group.split(OSError)
+                if others is not None:
+                    raise
+                for error in _leaves(os_errors):
                     print(f"cannot listen: {error}", file=sys.stderr)
                 return EXIT_CANNOT_LISTEN
             nursery.start_soon(_freeze_when_enforcing, node)
