Let a drain answer requests that were just sent

Cause: begin_drain closed idle connections at once, so a request that a caller was writing at that moment was cut off; the directory returns a choice beside the host and takes the error of a failure, the entry server expected neither. Change: idle connections end 1 s after a drain begins, or after their next answer; the drain test releases its request before it waits for the idle connection, because that wait is now 1 s of mock time and the request's deadline is 0.8 s; a test sends a request right after begin_drain. Conclusion: wait_idle now waits for the end of all connections.

--- a/shallotbridge/core/entry.py
+++ b/shallotbridge/core/entry.py
@@ -87,11 +87,11 @@
         await self._server.handle(stream)
 
     def begin_drain(self):
-        """Close idle connections, and each other one after its answer."""
+        """End each connection after its next answer, or soon if idle."""
         self._server.begin_drain()
 
     async def wait_idle(self):
-        """Wait until no caller's request is being served."""
+        """Wait until a drain has ended all callers' connections."""
         await self._server.wait_idle()
 
     def _new_request_id(self):
@@ -176,13 +176,13 @@
                 )
                 break
             try:
-                host = self._directory.choose(call, excluded)
+                host, choice = self._directory.choose(call, excluded)
             except errors.CallError as error:
-                trace.begin(attempt, None, self._directory)
+                trace.begin(attempt, None)
                 trace.end(error=error)
                 last_error = last_error or error
                 break
-            trace.begin(attempt, host, self._directory)
+            trace.begin(attempt, choice)
             try:
                 response = await self._attempt(host, call)
             except errors.CallError as error:
@@ -225,13 +225,13 @@
                 response = await self._forwarder.forward(host, call)
         except errors.CallError as error:
             if isinstance(error, errors.UpstreamUnreachableError):
-                directory.on_failed(host_id)
+                directory.on_failed(host_id, error)
             elif isinstance(error, _ERRORS_OF_THE_REQUEST):
                 pass
             elif error.outcome is errors.Outcome.NOT_RUN:
                 directory.on_refused(host_id, error)
             else:
-                directory.on_failed(host_id)
+                directory.on_failed(host_id, error)
             raise
         finally:
             directory.on_ended(host_id)
@@ -307,12 +307,11 @@
         self.lines = []
         self._started = None
 
-    def begin(self, attempt, host, directory):
-        choice = getattr(directory, "last_choice", None)
+    def begin(self, attempt, choice):
         self._started = trio.current_time()
         self.lines.append(
             {
-                "chosen": None if host is None else host.host_id,
+                "chosen": getattr(choice, "host_id", None),
                 "candidates": getattr(choice, "candidates", None),
                 "reason": getattr(choice, "reason", None),
                 "attempt": attempt,
--- a/shallotbridge/core/owner.py
+++ b/shallotbridge/core/owner.py
@@ -70,11 +70,11 @@
         await self._server.handle(stream)
 
     def begin_drain(self):
-        """Close idle connections, and each other one after its answer."""
+        """End each connection after its next answer, or soon if idle."""
         self._server.begin_drain()
 
     async def wait_idle(self):
-        """Wait until no forwarded request is being served."""
+        """Wait until a drain has ended all connections of other nodes."""
         await self._server.wait_idle()
 
     async def close(self):
--- a/shallotbridge/core/serving.py
+++ b/shallotbridge/core/serving.py
@@ -1,5 +1,7 @@
 """The loop that serves the requests of one connection."""
 
+import math
+
 import trio
 
 from . import errors
@@ -7,6 +9,9 @@
 
 # A client that does not read its answer is disconnected after this time.
 SEND_SECONDS = 30.0
+# A client may be writing a request to an idle connection at the moment of a
+# drain. Closing it at once would cut that request off.
+DRAIN_IDLE_SECONDS = 1.0
 
 
 class ConnectionServer:
@@ -29,11 +34,14 @@
         self._idle_scopes = set()
         self._became_idle = trio.Event()
         self._is_draining = False
+        self._idle_deadline = math.inf
         self.busy_count = 0
+        self.connection_count = 0
 
     async def handle(self, stream):
         """Serve a connection until either side closes it."""
         reader = http1.RequestReader(stream=stream)
+        self.connection_count += 1
         try:
             while await self._wait_request(reader):
                 self.busy_count += 1
@@ -41,21 +49,20 @@
                     is_kept = await self._serve_one(reader, stream)
                 finally:
                     self.busy_count -= 1
-                    if not self.busy_count:
-                        self._became_idle.set()
                 if not is_kept:
                     return
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The client closed the connection; nobody reads an answer.
             pass
         finally:
+            self.connection_count -= 1
+            if not self.connection_count:
+                self._became_idle.set()
             await trio.aclose_forcefully(stream)
 
     async def _wait_request(self, reader):
-        if self._is_draining:
-            return False
         has_request = False
-        with trio.CancelScope() as scope:
+        with trio.CancelScope(deadline=self._idle_deadline) as scope:
             self._idle_scopes.add(scope)
             try:
                 has_request = await reader.wait_request()
@@ -92,13 +99,14 @@
         return is_sent and is_kept
 
     def begin_drain(self):
-        """Close idle connections, and each other one after its answer."""
+        """End each connection after its next answer, or soon if idle."""
         self._is_draining = True
+        self._idle_deadline = trio.current_time() + DRAIN_IDLE_SECONDS
         for scope in self._idle_scopes:
-            scope.cancel()
+            scope.deadline = self._idle_deadline
 
     async def wait_idle(self):
-        """Wait until no request is being served."""
-        while self.busy_count:
+        """Wait until a drain has ended all connections."""
+        while self.connection_count:
             self._became_idle = trio.Event()
             await self._became_idle.wait()
--- a/tests/core/test_entry.py
+++ b/tests/core/test_entry.py
@@ -9,6 +9,7 @@
 import trio
 import trio.testing
 
+from shallotbridge.core import directory
 from shallotbridge.core import entry
 from shallotbridge.core import errors
 from shallotbridge.core import forwarding
@@ -81,7 +82,13 @@
     def choose(self, call, excluded):
         for host in self.hosts:
             if host.host_id not in excluded:
-                return host
+                return host, directory.Choice(
+                    host_id=host.host_id,
+                    candidates=(host.host_id,),
+                    group=directory.OWN_DOMAIN,
+                    reason="first",
+                    free=1,
+                )
         raise errors.NoUpstreamError("no host left")
 
     def on_sent(self, host_id):
@@ -96,7 +103,7 @@
     def on_refused(self, host_id, error):
         assert error.outcome is errors.Outcome.NOT_RUN
 
-    def on_failed(self, host_id):
+    def on_failed(self, host_id, error):
         pass
 
     async def run(self, call, send):
@@ -344,9 +351,27 @@
         await busy.send_all(b"GET /showroom/stock HTTP/1.1\r\nHost: a\r\n\r\n")
         await trio.testing.wait_all_tasks_blocked()
         mesh.server.begin_drain()
-        assert await idle.receive_some() == b""
         release.set()
+        assert await idle.receive_some() == b""
         await mesh.server.wait_idle()
         answer = await http1.ResponseReader(stream=busy).read("GET")
         assert answer.header("connection") == "close"
         assert await busy.receive_some() == b""
+
+
+async def test_a_request_sent_at_the_moment_of_a_drain_is_answered(
+    nursery, autojump_clock
+):
+    """Guards against a planned stop that closes a connection in use."""
+    mesh = Mesh(nursery, None)
+    async with mesh.caller() as stream:
+        reader = http1.ResponseReader(stream=stream)
+        for is_kept in (True, False):
+            await stream.send_all(
+                b"GET /showroom/stock HTTP/1.1\r\nHost: a\r\n\r\n"
+            )
+            answer = await reader.read("GET")
+            assert answer.status == 200
+            assert reader.is_persistent is is_kept
+            mesh.server.begin_drain()
+        await mesh.server.wait_idle()
