Measure the latency that nodes add, and close listeners before connections

Cause: the added latency of a call is not known without the upstream's share; a cancelled listener accepted connections until its last handler ended. Change: the owner reports the time at its upstream in a header between nodes; on_answered gets the failure and both times; serve closes its socket before it waits for its connections, in TCP and in the in-memory network. Conclusion: a drain can stop accepting and let connections end.

--- a/shallotbridge/core/entry.py
+++ b/shallotbridge/core/entry.py
@@ -46,8 +46,8 @@
         ``await wait_fresh()`` returns once the node's knowledge is fresh
         after a pause of the process.
     on_answered : callable
-        ``on_answered(service_name, outcome, seconds)`` for metrics; the
-        service is None when no route was found.
+        ``on_answered(error, seconds, upstream_seconds)`` for metrics; the
+        error is None and the last one a number if an upstream answered.
     record : callable
         ``record(action, **fields)`` writes the decision log.
     """
@@ -64,7 +64,7 @@
         retry_budget_of,
         random,
         wait_fresh=None,
-        on_answered=lambda service_name, outcome, seconds: None,
+        on_answered=lambda error, seconds, upstream_seconds: None,
         record=decisions.record,
     ):
         self._own_host = own_host
@@ -103,6 +103,8 @@
         trace = _Trace()
         call = None
         request_id = None
+        failure = None
+        upstream_seconds = None
         try:
             request_id = protocol.read_request_id(request)
             if request_id is None:
@@ -110,11 +112,12 @@
             if self._wait_fresh is not None:
                 await self._wait_fresh()
             call = self._call_of(request, request_id, started)
-            response = self._success(call, await self._run(call, trace))
-            outcome = errors.Outcome.RUN
+            response = await self._run(call, trace)
+            upstream_seconds = _upstream_seconds(response)
+            response = self._success(call, response)
         except errors.CallError as error:
             response = self._failure(error, call, request_id)
-            outcome = error.outcome
+            failure = error
         except trio.Cancelled:
             trace.end(outcome=errors.Outcome.UNKNOWN, ended=_CALLER_LEFT)
             self._write(trace, call)
@@ -122,9 +125,8 @@
 
         def finish():
             self._write(trace, call)
-            service_name = None if call is None else call.route.service
             self._on_answered(
-                service_name, outcome, trio.current_time() - started
+                failure, trio.current_time() - started, upstream_seconds
             )
 
         return response, finish
@@ -298,6 +300,12 @@
             )
 
 
+def _upstream_seconds(response):
+    """Return the time that an owner node measured at its upstream."""
+    value = response.header(protocol.UPSTREAM_TIME)
+    return int(value) / 1e6 if value and value.isdecimal() else None
+
+
 class _Trace:
     """The routing decisions of one call, written after its answer."""
 
--- a/shallotbridge/core/node.py
+++ b/shallotbridge/core/node.py
@@ -581,9 +581,16 @@
 
     # Metrics and status.
 
-    def _on_answered(self, service_name, outcome, seconds):
-        self.metrics.count(f"requests.{outcome}")
+    def _on_answered(self, error, seconds, upstream_seconds):
+        if error is None:
+            self.metrics.count("requests.run")
+        else:
+            self.metrics.count(f"requests.{error.outcome}.{error.code}")
         self.metrics.timing("response_time", seconds)
+        if upstream_seconds is not None:
+            # A stored response carries the time of its first sending.
+            added = max(0.0, seconds - upstream_seconds)
+            self.metrics.timing("added_latency", added)
 
     def _record_routing(self, action, **fields):
         code = fields.get("code")
--- a/shallotbridge/core/owner.py
+++ b/shallotbridge/core/owner.py
@@ -91,7 +91,8 @@
         Returns
         -------
         model.Response
-            With ``x-shallotbridge-free``, like an answer to another node.
+            With ``x-shallotbridge-free`` and the time that the upstream
+            took, like an answer to another node.
 
         Raises
         ------
@@ -101,9 +102,7 @@
         return dataclasses.replace(
             response,
             headers=(
-                *protocol.without_own_headers(
-                    http1.end_to_end_headers(response.headers)
-                ),
+                *response.headers,
                 model.Header(name=protocol.FREE, value=str(self._gate.free)),
             ),
         )
@@ -116,7 +115,9 @@
             headers=tuple(_upstream_headers(call, self._own_host)),
             body=call.request.body,
         )
+        started = trio.current_time()
         response = await self._pool.exchange(request, call.deadline)
+        microseconds = round((trio.current_time() - started) * 1e6)
         reason = response.header(REFUSED)
         if response.status == 503 and reason in REFUSAL_REASONS:
             error = errors.UpstreamRefusedError(
@@ -124,7 +125,17 @@
             )
             error.reason = reason
             raise error
-        return response
+        return dataclasses.replace(
+            response,
+            headers=(
+                *protocol.without_own_headers(
+                    http1.end_to_end_headers(response.headers)
+                ),
+                model.Header(
+                    name=protocol.UPSTREAM_TIME, value=str(microseconds)
+                ),
+            ),
+        )
 
     async def _answer(self, request):
         request_id = ""
--- a/shallotbridge/core/protocol.py
+++ b/shallotbridge/core/protocol.py
@@ -18,6 +18,9 @@
 SERVICE = PREFIX + "service"
 ROUTE = PREFIX + "route"
 FREE = PREFIX + "free"
+# Time from sending a request to the upstream until its whole answer, in
+# microseconds; between nodes only.
+UPSTREAM_TIME = PREFIX + "upstream-us"
 IDEMPOTENCY_KEY = "idempotency-key"
 
 MAXIMUM_DEADLINE_MS = 3_600_000
--- a/shallotbridge/transports/tcp.py
+++ b/shallotbridge/transports/tcp.py
@@ -61,19 +61,11 @@
     OSError
         The port is taken or the address is not one of this host.
     """
-    listener = trio.socket.socket(_family(address), socket.SOCK_STREAM)
-    with listener:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            await listener.bind((address, port))
-            listener.listen(BACKLOG)
-        except OSError as error:
-            raise OSError(
-                error.errno,
-                f"cannot listen on {address}:{port}: {error.strerror}; stop "
-                "the process that uses it or change the setting",
-            ) from error
-        async with trio.open_nursery() as nursery:
+    listener = await _listen(address, port)
+    async with trio.open_nursery() as nursery:
+        # The listener closes before the connections end, so that a drain
+        # can shield them.
+        with listener:
             task_status.started(listener.getsockname()[:2])
             while True:
                 try:
@@ -89,6 +81,22 @@
                 )
 
 
+async def _listen(address, port):
+    listener = trio.socket.socket(_family(address), socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        await listener.bind((address, port))
+        listener.listen(BACKLOG)
+    except OSError as error:
+        listener.close()
+        raise OSError(
+            error.errno,
+            f"cannot listen on {address}:{port}: {error.strerror}; stop "
+            "the process that uses it or change the setting",
+        ) from error
+    return listener
+
+
 async def _serve_stream(handler, stream):
     try:
         await handler(stream)
--- a/tests/golden/memory_network.py
+++ b/tests/golden/memory_network.py
@@ -148,13 +148,14 @@
             raise OSError(f"{address}:{port} is in use")
         send_channel, receive_channel = trio.open_memory_channel(1000)
         self._channels_by_endpoint[endpoint] = send_channel
-        try:
-            async with trio.open_nursery() as nursery:
+        async with trio.open_nursery() as nursery:
+            # As with TCP, the listener ends before its connections.
+            try:
                 task_status.started()
                 async for stream in receive_channel:
                     nursery.start_soon(_handle, handler, stream)
-        finally:
-            self._channels_by_endpoint.pop(endpoint, None)
+            finally:
+                self._channels_by_endpoint.pop(endpoint, None)
 
 
 async def _handle(handler, stream):
