--- a/bench/demo.py
+++ b/bench/demo.py
@@ -90,7 +90,6 @@
         self.tree = running.directory / "tree"
         self.version = 0
         self.samples_by_id = collections.defaultdict(list)
-        self.host_revision = 0
         shutil.copytree(processes.ROOT / "examples" / "nileweave", self.tree)
 
     # Steps.
@@ -157,15 +156,6 @@
                 await self._sample(host)
             await trio.sleep(SAMPLE_SECONDS)
 
-    def publish_hosts(self, leaving=()):
-        """Publish the host lists of both domains."""
-        self.host_revision += 1
-        self.platform.put(
-            processes.host_lists(
-                self.hosts, revision=self.host_revision, leaving=leaving
-            )
-        )
-
     def start_node(self, host):
         """Start a node with two peers of other hosts as seeds."""
         seeds = [other.address for other in self.hosts if other != host][:2]
@@ -180,10 +170,10 @@
     def start_all(self):
         """Start platform, upstreams and nodes; wait until they serve."""
         processes.start_platform(self.running, self.platform)
-        self.publish_hosts()
+        self.platform.publish_hosts(self.hosts)
         self.platform.publish(self.build())
         for host in self.hosts:
-            processes.start_upstream(self.running, host)
+            processes.start_upstream(self.running, host, warm_seconds=5)
         for host in self.hosts:
             self.start_node(host)
         processes.wait_enforcing(self.running, self.hosts)
@@ -221,7 +211,7 @@
 
     def _started_in(self, domain):
         return sum(
-            len(processes.upstream_runs(host))
+            sum(processes.upstream_record(host)["by_request_id"].values())
             for host in self.hosts
             if host.failure_domain == domain
         )
@@ -270,10 +260,9 @@
         runs_by_request_id = collections.Counter()
         runs_by_key = collections.Counter()
         for host in self.hosts:
-            for run in processes.upstream_runs(host):
-                runs_by_request_id[run["request_id"]] += 1
-                if run["idempotency_key"]:
-                    runs_by_key[run["idempotency_key"]] += 1
+            record = processes.upstream_record(host)
+            runs_by_request_id.update(record["by_request_id"])
+            runs_by_key.update(record["by_key"])
         sendings = callers.sendings
         false_not_run = [
             each
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -4,7 +4,6 @@
 import contextlib
 import ctypes
 import dataclasses
-import json
 import os
 import pathlib
 import random
@@ -22,6 +21,7 @@
 OPERATOR_PORT = 7403
 UPSTREAM_PORT = 8080
 PLATFORM_PORT = 7500
+PLATFORM_CONTROL_PORT = 7501
 # Generous, since a busy machine may start processes slowly, s.
 READY_SECONDS = 60.0
 STOP_SECONDS = 30.0
@@ -267,21 +267,107 @@
     return done.stdout
 
 
-def host_lists(hosts, *, revision, leaving=()):
-    """Return the platform's host lists by their keys."""
-    lists_by_key = {}
-    for host in hosts:
-        key = f"hosts/{host.failure_domain}"
-        entry = {
-            "host_id": host.host_id,
-            "address": host.address,
-            "service": host.service,
-            "state": "leaving" if host.host_id in leaving else "live",
-        }
-        found = lists_by_key.setdefault(
-            key, {"revision": revision, "hosts": []}
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PlatformPlan:
+    """The stand-in of the platform and its control endpoint."""
+
+    address: str
+
+    @property
+    def url(self):
+        """Base URL that nodes read."""
+        return f"http://{self.address}:{PLATFORM_PORT}"
+
+    def put(self, path, *, content=None, document=None):
+        """Send one control request.
+
+        Raises
+        ------
+        ProcessError
+            The platform did not accept it.
+        """
+        url = f"http://{self.address}:{PLATFORM_CONTROL_PORT}/control/{path}"
+        with httpx.Client(trust_env=False, timeout=READY_SECONDS) as client:
+            answer = client.put(url, content=content, json=document)
+        if answer.status_code != 200:
+            raise ProcessError(f"{url}: {answer.status_code} {answer.text}")
+        return answer.json()
+
+    def publish(self, build_directory):
+        """Put a build on the platform: the bundles first, the head last."""
+        for path in sorted(build_directory.glob("configuration/bundle/*")):
+            key = f"configuration/bundle/{path.name}"
+            self.put(f"values/{key}", content=path.read_bytes())
+        head = build_directory / "configuration" / "head"
+        self.put("values/configuration/head", content=head.read_bytes())
+
+    def publish_hosts(self, hosts, *, leaving=()):
+        """Put the host lists of all failure domains."""
+        for domain in sorted({host.failure_domain for host in hosts}):
+            entries = [
+                {
+                    "host_id": host.host_id,
+                    "address": host.address,
+                    "service": host.service,
+                    "state": "leaving" if host.host_id in leaving else "live",
+                }
+                for host in hosts
+                if host.failure_domain == domain
+            ]
+            self.put(f"hosts/{domain}", document=entries)
+
+    def status(self):
+        """Return the counts of the stand-in, or None."""
+        return get_json(
+            f"http://{self.address}:{PLATFORM_CONTROL_PORT}/control/status"
         )
-        found["hosts"].append(entry)
-    return {
-        key: json.dumps(value).encode() for key, value in lists_by_key.items()
-    }
+
+
+def start_platform(processes, plan):
+    """Start the platform and wait until it answers."""
+    processes.start(
+        "platform",
+        [
+            "standins.platform",
+            f"--address={plan.address}",
+            f"--port={PLATFORM_PORT}",
+            f"--control-port={PLATFORM_CONTROL_PORT}",
+        ],
+    )
+    _wait_answer(processes, "platform", plan.status)
+
+
+def start_upstream(processes, host, **options):
+    """Start the upstream of a host and wait until it answers.
+
+    Parameters
+    ----------
+    processes : Processes
+    host : HostPlan
+    **options
+        Options of ``standins.upstream``, such as ``service_ms``.
+    """
+    name = f"upstream-{host.host_id}"
+    flags = [
+        f"--{key.replace('_', '-')}={value}" for key, value in options.items()
+    ]
+    processes.start(
+        name, ["standins.upstream", f"--address={host.address}", *flags]
+    )
+    _wait_answer(processes, name, lambda: upstream_record(host))
+
+
+def _wait_answer(processes, name, check):
+    def is_ready():
+        if not processes.is_running(name):
+            raise ProcessError(
+                f"{name} ended: {processes.output(name)[-2000:]}"
+            )
+        return check()
+
+    wait_until(is_ready, description=f"{name} answers")
+
+
+def upstream_record(host):
+    """Return what the upstream of a host ran, or None."""
+    return get_json(f"http://{host.address}:{UPSTREAM_PORT}/control/ran")
