Generate the page of configuration keys; tidy after interrupted builds

Cause: the reference of keys must not drift from the schema; a build that was killed left a temporary file in the output; `check` gave exit code 2 or 3 for some damaged builds. Change: docs/configuration-keys.md is generated, write_build removes what an interrupted build left, `check` ends with 1 for every problem.

--- a/shallotbridge/cli/check.py
+++ b/shallotbridge/cli/check.py
@@ -22,7 +22,6 @@
   0  no problems
   1  problems; each is printed on one line
   2  wrong usage
-  3  a build has a version or size that nodes or the platform refuse
 """
 
 
@@ -43,7 +42,7 @@
 ):
     from ..core import diff
 
-    with exits.reported():
+    with exits.reported(exits.PROBLEMS):
         configuration = diff.load_configuration(directory)
         services = configuration.services_by_name.values()
         routes = sum(len(service.routes_by_name) for service in services)
--- a/shallotbridge/cli/diff.py
+++ b/shallotbridge/cli/diff.py
@@ -22,8 +22,7 @@
 Exit codes:
   0  compared, whether or not something changes
   1  a tree or build has problems
-  2  wrong usage
-  3  a build has a version or size that nodes or the platform refuse
+  2  wrong usage, or an unreadable host list
 """
 
 
@@ -75,10 +74,12 @@
     from ..core import diff
 
     with exits.reported():
+        host_list = None if hosts is None else diff.load_hosts(hosts)
+    with exits.reported(exits.PROBLEMS):
         difference = diff.compare(
             diff.load_configuration(old),
             diff.load_configuration(new),
-            hosts=None if hosts is None else diff.load_hosts(hosts),
+            hosts=host_list,
         )
     render = diff.to_json if output_format is _Format.JSON else diff.to_text
     typer.echo(render(difference))
--- a/shallotbridge/cli/exits.py
+++ b/shallotbridge/cli/exits.py
@@ -44,10 +44,16 @@
 
 
 @contextlib.contextmanager
-def reported():
-    """Turn a failure inside the block into a message and an exit code."""
+def reported(code=None):
+    """Turn a failure inside the block into a message and an exit code.
+
+    Parameters
+    ----------
+    code : int, optional
+        The exit code for every failure; that of `exit_code` by default.
+    """
     try:
         yield
     except errors.ShallotbridgeError as error:
         print_error(error)
-        raise typer.Exit(exit_code(error)) from error
+        raise typer.Exit(code or exit_code(error)) from error
--- a/shallotbridge/core/build.py
+++ b/shallotbridge/core/build.py
@@ -16,6 +16,8 @@
 from . import model
 from . import parts
 
+_TEMPORARY_PREFIX = ".new-"
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Build:
@@ -177,13 +179,21 @@
     try:
         for key, value in build.values_by_key.items():
             replace_file(root / key, value)
-        for path in (root / parts.BUNDLE_KEY_PREFIX).iterdir():
-            if parts.BUNDLE_KEY_PREFIX + path.name not in build.values_by_key:
-                path.unlink()
+        _remove_superseded(root, build.values_by_key)
     except OSError as error:
         raise _unreadable(root, error) from error
 
 
+def _remove_superseded(root, values_by_key):
+    """Remove older bundles, and what an interrupted build left behind."""
+    head_path = root / parts.HEAD_KEY
+    for path in head_path.parent.glob(_TEMPORARY_PREFIX + "*"):
+        path.unlink()
+    for path in (root / parts.BUNDLE_KEY_PREFIX).iterdir():
+        if parts.BUNDLE_KEY_PREFIX + path.name not in values_by_key:
+            path.unlink()
+
+
 def _check_older(present, new, root):
     found = model.HeadReference(version=present.version, digest=present.digest)
     if found == new or found.version < new.version:
@@ -210,7 +220,9 @@
     """
     path.parent.mkdir(parents=True, exist_ok=True)
     mode = path.stat().st_mode & 0o777 if path.exists() else 0o644
-    descriptor, temporary = tempfile.mkstemp(dir=path.parent, prefix=".new-")
+    descriptor, temporary = tempfile.mkstemp(
+        dir=path.parent, prefix=_TEMPORARY_PREFIX
+    )
     try:
         with os.fdopen(descriptor, "wb") as stream:
             stream.write(content)
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -59,6 +59,10 @@
     assert "SB-1005" in run("domain out cairo-5 --tree mesh", 2)
     assert "SB-1008" in run("build mesh --base absent --output v3", 2)
     run("build mesh", 2)
+    for path in pathlib.Path("v1/configuration/bundle").iterdir():
+        path.unlink()
+    assert "SB-1008" in run("check v1", 1)
+    assert "SB-1008" in run("diff v1 mesh", 1)
 
 
 def test_all_problems_are_printed(run):
--- a/tests/core/test_build.py
+++ b/tests/core/test_build.py
@@ -32,6 +32,8 @@
     assert _files(tmp_path) == first.values_by_key
     assert build.read_build(tmp_path) == first
     second = _build(base=first, out_of_service=["cairo-1"])
+    for name in ("configuration/.new-1", "configuration/bundle/.new-2"):
+        (tmp_path / name).write_bytes(b"left by an interrupted build")
     build.write_build(second, tmp_path)
     assert _files(tmp_path) == second.values_by_key
     assert build.read_build(tmp_path).base == first.configuration.head
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -4,6 +4,7 @@
 reports files that differ from what the schema gives.
 """
 
+import json
 import pathlib
 import re
 import sys
@@ -16,6 +17,7 @@
 SCHEMA = ROOT / "schema"
 GENERATED = pathlib.Path("shallotbridge/_generated")
 CONFIGURATION_SCHEMA = "configuration.schema.json"
+KEYS_PAGE = pathlib.Path("docs/configuration-keys.md")
 SETTINGS_PAGE = pathlib.Path("docs/settings.md")
 TYPE_NAMES = {
     "str": "str",
@@ -166,6 +168,43 @@
     return "\n".join(lines) + "\n"
 
 
+def _keys_page(definitions):
+    lines = [
+        "# Keys of the configuration files",
+        "",
+        "Made by `python -m tools.generate` from "
+        "`schema/configuration.schema.json`.",
+        "[configuration.md](configuration.md) explains the files.",
+    ]
+    tables = {
+        "mesh.toml": "mesh",
+        "mesh.toml, [[failure_domain]]": "failure_domain",
+        "shallotbridge.toml": "service",
+        "shallotbridge.toml, [upstream]": "upstream",
+        "shallotbridge.toml, [[route]]": "route",
+    }
+    for heading, definition in tables.items():
+        lines += [
+            "",
+            f"## {heading}",
+            "",
+            "| key | allowed | default | meaning |",
+            "| --- | --- | --- | --- |",
+        ]
+        schema = definitions[definition]
+        for key, value in schema["properties"].items():
+            if "$ref" in value:
+                value = definitions[value["$ref"].split("/")[-1]] | value
+            default = "required"
+            if key not in schema["required"]:
+                default = f"`{json.dumps(value['default'])}`"
+            lines.append(
+                f"| `{key}` | {value['title']} | {default} "
+                f"| {value['description']} |"
+            )
+    return "\n".join(lines) + "\n"
+
+
 def generate(target):
     """Write all generated files below a directory.
 
@@ -183,10 +222,11 @@
     )
     (target / GENERATED / "settings.py").write_text(_settings_code(settings))
     (target / SETTINGS_PAGE).write_text(_settings_page(settings))
+    schema_text = (SCHEMA / CONFIGURATION_SCHEMA).read_text()
     # A copy inside the package, so that the built program contains it.
-    (target / GENERATED / CONFIGURATION_SCHEMA).write_text(
-        (SCHEMA / CONFIGURATION_SCHEMA).read_text()
-    )
+    (target / GENERATED / CONFIGURATION_SCHEMA).write_text(schema_text)
+    definitions = json.loads(schema_text)["$defs"]
+    (target / KEYS_PAGE).write_text(_keys_page(definitions))
 
 
 def _differing_files():
