Quote unusual keys in problems; test interrupted builds

Cause: a TOML key with a line end broke the one-line form of a problem; mesh.toml behind a symbolic link was replaced by a file; nothing showed that an interrupted build leaves a whole version. Change: keys other than bare ones are quoted, the link's target is replaced, and a test ends the write at each value.

--- a/shallotbridge/core/domains.py
+++ b/shallotbridge/core/domains.py
@@ -205,7 +205,8 @@
             f"{', '.join(plan.stranded)}; take another one back first, or "
             "force it to refuse all their requests"
         )
-    path = pathlib.Path(directory) / tree.MESH_FILE
+    # A symbolic link stays one; its target is replaced.
+    path = (pathlib.Path(directory) / tree.MESH_FILE).resolve()
     try:
         content = path.read_bytes()
         build.replace_file(
--- a/shallotbridge/core/tree.py
+++ b/shallotbridge/core/tree.py
@@ -30,6 +30,7 @@
 # Durations are encoded in whole milliseconds and ratios per mille.
 _STEPS_PER_UNIT = 1000
 _SCHEMA_FILE = "configuration.schema.json"
+_BARE_KEY_PATTERN = re.compile(r"[A-Za-z0-9_-]+")
 _LINE_PATTERN = re.compile(r"at line (\d+)")
 
 
@@ -342,16 +343,22 @@
         if isinstance(step, int):
             value = value[step]
             name = value.get("name") if isinstance(value, dict) else None
-            if isinstance(name, str) and name and path[-1] != "name":
+            if _is_bare_key(name) and path[-1] != "name":
                 text += f".{name}"
             else:
                 text += f"[{step}]"
         else:
-            text += f".{step}" if text else step
+            # Other keys are quoted, since they can contain line ends.
+            step_text = step if _is_bare_key(step) else json.dumps(step)
+            text += f".{step_text}" if text else step_text
             value = value.get(step) if isinstance(value, dict) else None
     return text
 
 
+def _is_bare_key(name):
+    return isinstance(name, str) and _BARE_KEY_PATTERN.fullmatch(name)
+
+
 def _found_text(value, *, is_text=False):
     try:
         text = value if is_text else repr(value)
--- a/tests/core/test_build.py
+++ b/tests/core/test_build.py
@@ -89,6 +89,33 @@
     assert _files(tmp_path) == before
 
 
+@pytest.mark.parametrize("failing_call", [0, 1, 2])
+def test_an_interrupted_build_leaves_a_whole_version(
+    failing_call, tmp_path, monkeypatch
+):
+    """Guards against a directory with a head that names missing bundles."""
+    first = _build()
+    build.write_build(first, tmp_path)
+    second = _build(base=first, out_of_service=["cairo-1"])
+    replace = build.replace_file
+    calls = []
+
+    def _replace(path, content):
+        calls.append(path)
+        if len(calls) > failing_call:
+            raise OSError(28, "No space left on device")
+        replace(path, content)
+
+    monkeypatch.setattr(build, "replace_file", _replace)
+    if failing_call < len(second.values_by_key):
+        with pytest.raises(errors.UnreadableInputError, match="No space"):
+            build.write_build(second, tmp_path)
+        assert build.read_build(tmp_path) == first
+    else:
+        build.write_build(second, tmp_path)
+        assert build.read_build(tmp_path) == second
+
+
 def _head(tmp_path, **fields):
     path = tmp_path / parts.HEAD_KEY
     head = configuration_pb2.Head.FromString(path.read_bytes())
--- a/tests/core/test_tree.py
+++ b/tests/core/test_tree.py
@@ -71,6 +71,7 @@
         (b"slots = 6", b"", "upstream.slots", "nothing"),
         (b"slots = 6", b"slots = 101", "upstream.connections", "100"),
         (b"slots = 6", b"slots = 6\nslot = 7", "upstream.slot", "7"),
+        (b"slots = 6", b"slots = 6\n'a b' = 7", 'upstream."a b"', "7"),
         (b"20.5", b"nan", "upstream.ramp_seconds", "nan"),
         (b"20.5", b"0.0001", "upstream.ramp_seconds", "0.0001"),
         (b"0.125", b"1.5", "route.browse.retry_ratio", "1.5"),
