--- a/tools/generate.py
+++ b/tools/generate.py
@@ -254,11 +254,8 @@
     )
     (target / GENERATED / "settings.py").write_text(_settings_code(settings))
     (target / SETTINGS_PAGE).write_text(_settings_page(settings))
-<<<<<<< HEAD
     (target / ERRORS_PAGE).write_text(_errors_page())
-=======
     schema_text = (SCHEMA / CONFIGURATION_SCHEMA).read_text()
->>>>>>> operators
     # A copy inside the package, so that the built program contains it.
     (target / GENERATED / CONFIGURATION_SCHEMA).write_text(schema_text)
     definitions = json.loads(schema_text)["$defs"]
