--- /dev/null
+++ b/tests/core/test_fleet.py
@@ -0,0 +1,123 @@
+"""Tests of distribution in an in-memory fleet of two failure domains."""
+
+import itertools
+
+import trio
+
+from tests import builders
+from tests import memory
+
+DOMAINS = {"cairo-1": 30, "cairo-2": 30}
+# Bound of section 2.5 for a change to be in force everywhere, seconds.
+CONVERGENCE_SECONDS = 4.0
+
+
+async def start_fleet(nursery):
+    """Return a fleet that enforces version 1 and has its tree built."""
+    fleet = memory.MemoryFleet(domains=DOMAINS, nursery=nursery)
+    fleet.publish(make_version(1))
+    for host in fleet.hosts:
+        fleet.start(host)
+    await fleet.wait_version(1, 30.0)
+    await trio.sleep(40.0)
+    return fleet
+
+
+def make_version(version):
+    """Return a configuration that differs by its deadline."""
+    route = builders.make_route(deadline_seconds=float(version))
+    service = builders.make_service(routes=[route])
+    return builders.make_configuration(version=version, services=[service])
+
+
+def check_upward(fleet):
+    """No node ever enforced a lower version after a higher one."""
+    for node in fleet.nodes_by_id.values():
+        for previous, following in itertools.pairwise(node.versions):
+            assert previous < following
+
+
+async def test_a_publication_reaches_all_nodes(nursery, autojump_clock):
+    """Guards against slow convergence and more readers than needed."""
+    fleet = await start_fleet(nursery)
+    assert len(fleet.readers("cairo-1")) == 3
+    calls = fleet.platform.call_count
+    fleet.publish(make_version(2))
+    await fleet.wait_version(2, CONVERGENCE_SECONDS)
+    # Six readers: a watch, the head and one bundle each, then a watch.
+    assert fleet.platform.call_count - calls <= 6 * 4
+    check_upward(fleet)
+
+
+async def test_all_readers_of_a_domain_are_replaced(nursery, autojump_clock):
+    """Guards against a domain that is orphaned by the loss of readers."""
+    fleet = await start_fleet(nursery)
+    for node in fleet.readers("cairo-1"):
+        fleet.kill(node.host.host_id)
+    await trio.sleep(2.0)
+    fleet.publish(make_version(2))
+    await fleet.wait_version(2, CONVERGENCE_SECONDS)
+    assert len(fleet.readers("cairo-1")) >= 3
+
+
+async def test_a_domain_without_the_platform_follows_the_other(
+    nursery, autojump_clock
+):
+    """Guards against a domain that depends on its own platform link."""
+    fleet = await start_fleet(nursery)
+    fleet.domains_without_platform.add("cairo-1")
+    fleet.publish(make_version(2))
+    await fleet.wait_version(2, CONVERGENCE_SECONDS)
+
+
+async def test_a_partition_heals_upward(nursery, autojump_clock):
+    """Guards against a split that persists or reverts after healing."""
+    fleet = await start_fleet(nursery)
+    first, second = (
+        [host.address for host in hosts]
+        for hosts in fleet.hosts_by_domain.values()
+    )
+    fleet.domains_without_platform.add("cairo-1")
+    fleet.network.cut(first, second)
+    fleet.publish(make_version(2))
+    await trio.sleep(60.0)
+    assert fleet.versions() == {1, 2}
+    fleet.network.heal()
+    await fleet.wait_version(2, 40.0)
+    check_upward(fleet)
+
+
+async def test_a_restarted_node_ignores_a_restored_platform(
+    nursery, autojump_clock
+):
+    """Guards against a restart that moves back to a stale platform (P1)."""
+    fleet = await start_fleet(nursery)
+    old_revision = fleet.platform.revision
+    fleet.publish(make_version(2))
+    await fleet.wait_version(2, CONVERGENCE_SECONDS)
+    fleet.platform.rewind(old_revision)
+    restarted = []
+    for node in fleet.readers("cairo-1") + fleet.readers("cairo-2"):
+        fleet.kill(node.host.host_id)
+        restarted.append(fleet.start(node.host))
+    await fleet.wait_version(2, 10.0)
+    await trio.sleep(60.0)
+    assert fleet.versions() == {2}
+    assert [node.versions for node in restarted] == [[2]] * 6
+    check_upward(fleet)
+
+
+async def test_a_common_start_spares_the_platform(nursery, autojump_clock):
+    """Guards against a reconnection storm above the platform's limit."""
+    fleet = memory.MemoryFleet(domains=DOMAINS, nursery=nursery)
+    fleet.platform.set_mode("down")
+    fleet.publish(make_version(1))
+    for host in fleet.hosts:
+        fleet.start(host)
+    await trio.sleep(60.0)
+    assert fleet.versions() == {0}
+    fleet.platform.set_mode("up")
+    await fleet.wait_version(1, 60.0)
+    assert fleet.platform.refused_count == 0
+    # Design 5.5: about 500 first calls a second for any fleet, plus bursts.
+    assert fleet.platform.peak_calls < 500 + len(fleet.hosts)
--- /dev/null
+++ b/tests/memory.py
@@ -0,0 +1,290 @@
+"""An in-memory fleet: peers, platform and distribution, on trio's clock."""
+
+import random
+
+import trio
+
+from shallotbridge._generated import configuration_pb2
+from shallotbridge._generated import peer_pb2
+from shallotbridge.core import errors
+from shallotbridge.core import hosts as hosts_module
+from shallotbridge.core import model
+from shallotbridge.core import parts
+from shallotbridge.core import platform as platform_module
+from shallotbridge.core import startup
+from shallotbridge.core import store as store_module
+from shallotbridge.core import sync
+from shallotbridge.core import topology as topology_module
+from shallotbridge.transports import network
+from standins import platform as platform_standin
+
+
+class MemoryPeerNetwork:
+    """Calls between nodes by address, with delay and partitions.
+
+    A call to an address that nobody serves is refused at once. A call that
+    is cut (see ``cut``) is silent until its timeout.
+    """
+
+    def __init__(self, *, delay=0.001):
+        self.delay = delay
+        self.call_count = 0
+        self._handlers_by_address = {}
+        self._cut = set()
+
+    def cut(self, addresses, other_addresses):
+        """Lose all messages between two groups."""
+        for address in addresses:
+            for other in other_addresses:
+                self._cut |= {(address, other), (other, address)}
+
+    def heal(self):
+        """Undo all cuts."""
+        self._cut.clear()
+
+    def peers(self, source):
+        """Return the ``network.Peers`` of the node at an address."""
+
+        def bind(name, reply_type):
+            async def call(address, message, timeout):
+                return await self._call(
+                    source, address, name, message, timeout, reply_type
+                )
+
+            return call
+
+        async def serve(
+            address, port, handlers, task_status=trio.TASK_STATUS_IGNORED
+        ):
+            self._handlers_by_address[address] = handlers
+            try:
+                task_status.started()
+                await trio.sleep_forever()
+            finally:
+                if self._handlers_by_address.get(address) is handlers:
+                    del self._handlers_by_address[address]
+
+        return network.Peers(
+            sync=bind("sync", peer_pb2.SyncReply),
+            report_crash=bind("report_crash", None),
+            lookup_key=bind("lookup_key", peer_pb2.KeyAnswer),
+            hand_over=bind("hand_over", None),
+            serve=serve,
+        )
+
+    async def _call(self, source, target, name, message, timeout, reply_type):
+        self.call_count += 1
+        with trio.move_on_after(timeout):
+            await self._travel(source, target)
+            handlers = self._handlers_by_address.get(target)
+            if handlers is None:
+                raise errors.PeerUnavailableError(f"{target}: refused")
+            request = type(message).FromString(message.SerializeToString())
+            reply = await getattr(handlers, name)(request)
+            if self._handlers_by_address.get(target) is not handlers:
+                raise errors.PeerUnavailableError(f"{target}: closed")
+            await self._travel(target, source)
+            if reply_type is None:
+                return None
+            return reply_type.FromString(reply.SerializeToString())
+        raise errors.PeerUnavailableError(f"{target}: no answer in {timeout}s")
+
+    async def _travel(self, source, target):
+        await trio.sleep(self.delay)
+        if (source, target) in self._cut:
+            await trio.sleep_forever()
+
+
+def platform_values(configuration, *, base_version=0, base_digest=b""):
+    """Return the values that a publication puts on the platform."""
+    head = configuration_pb2.Head(
+        version=configuration.head.version,
+        digest=configuration.head.digest,
+        base_version=base_version,
+        base_digest=base_digest,
+    )
+    values_by_key = {}
+    for content in parts.make_bundles(parts.encode_parts(configuration)):
+        digest = parts.part_digest(content)
+        key = parts.bundle_key(digest)
+        head.bundles.add(key=key, digest=digest, size=len(content))
+        values_by_key[key] = content
+    values_by_key[parts.HEAD_KEY] = head.SerializeToString(deterministic=True)
+    return values_by_key
+
+
+class MemoryNode:
+    """The distribution modules of one node, without proxy and upstream."""
+
+    def __init__(self, *, host, peers, platform, seed, seeds=(), fleet_size=1):
+        source = random.Random(f"{seed}-{host.host_id}")
+        self.host = host
+        self.versions = []
+        self.store = store_module.ConfigurationStore()
+        self.hosts = hosts_module.HostTable()
+        self.topology = topology_module.Topology(
+            own_host=host, hosts=self.hosts, seeds=seeds
+        )
+        self.client = sync.SyncClient(
+            own_host=host,
+            store=self.store,
+            hosts=self.hosts,
+            topology=self.topology,
+            peers=peers,
+            random=source,
+        )
+        self.server = sync.SyncServer(
+            host_id=host.host_id,
+            store=self.store,
+            hosts=self.hosts,
+            on_ahead=self.client.request_pull,
+        )
+        self.reader = platform_module.PlatformReader(
+            platform=platform,
+            store=self.store,
+            hosts=self.hosts,
+            random=source,
+            topology=self.topology,
+            failure_domain=host.failure_domain,
+        )
+        self._peers = peers
+        self._random = source
+        self._fleet_size = fleet_size
+
+    async def run(self):
+        """Run until cancelled."""
+        handlers = network.PeerHandlers(
+            sync=self.server.sync,
+            report_crash=_ignore,
+            lookup_key=_ignore,
+            hand_over=_ignore,
+        )
+        async with trio.open_nursery() as nursery:
+            await nursery.start(
+                self._peers.serve, self.host.address, 0, handlers
+            )
+            nursery.start_soon(self._observe)
+            await startup.find_configuration(
+                own_host=self.host,
+                store=self.store,
+                hosts=self.hosts,
+                client=self.client,
+                reader=self.reader,
+                seed_hosts=self.topology.seeds,
+                fleet_size=self._fleet_size,
+                random=self._random,
+            )
+            nursery.start_soon(self.client.run)
+            nursery.start_soon(self.reader.run)
+
+    async def _observe(self):
+        """Record each version that is enforced."""
+        configuration = await self.store.wait_enforced()
+        while True:
+            self.versions.append(configuration.head.version)
+            await self.store.wait_newer(configuration.head)
+            configuration = self.store.configuration
+
+
+async def _ignore(message):
+    return peer_pb2.KeyAnswer()
+
+
+class MemoryFleet:
+    """Nodes over several failure domains and their platform.
+
+    Parameters
+    ----------
+    domains : mapping of str to int
+        Number of hosts by failure domain.
+    nursery : trio.Nursery
+    """
+
+    def __init__(self, *, domains, nursery, seed=1):
+        self.network = MemoryPeerNetwork()
+        self.platform = platform_standin.PlatformState()
+        self.nodes_by_id = {}
+        self.hosts_by_domain = {}
+        self.domains_without_platform = set()
+        self._nursery = nursery
+        self._seed = seed
+        self._scopes_by_id = {}
+        for index, (name, count) in enumerate(domains.items(), start=1):
+            self.hosts_by_domain[name] = [
+                model.Host(
+                    host_id=f"{name}-{number}",
+                    address=f"127.{index}.{number // 200}.{number % 200 + 1}",
+                    service="showroom",
+                    failure_domain=name,
+                )
+                for number in range(count)
+            ]
+            self.platform.set_hosts(name, self.hosts_by_domain[name])
+
+    @property
+    def hosts(self):
+        """All hosts, whether their node runs or not."""
+        return [
+            host for listed in self.hosts_by_domain.values() for host in listed
+        ]
+
+    def publish(self, configuration):
+        """Put a configuration on the platform."""
+        self.platform.put(platform_values(configuration))
+
+    def start(self, host, seeds=()):
+        """Start a node, which knows nothing."""
+        domain = host.failure_domain
+        node = MemoryNode(
+            host=host,
+            peers=self.network.peers(host.address),
+            platform=self.platform.as_platform(
+                lambda: domain not in self.domains_without_platform
+            ),
+            seed=self._seed,
+            seeds=seeds,
+            fleet_size=len(self.hosts),
+        )
+        scope = trio.CancelScope()
+        self.nodes_by_id[host.host_id] = node
+        self._scopes_by_id[host.host_id] = scope
+
+        async def run():
+            with scope:
+                await node.run()
+
+        self._nursery.start_soon(run)
+        return node
+
+    def kill(self, host_id):
+        """End a node at once."""
+        self._scopes_by_id.pop(host_id).cancel()
+        return self.nodes_by_id.pop(host_id)
+
+    def readers(self, failure_domain):
+        """Return the nodes of a domain that read the platform now."""
+        return [
+            node
+            for node in self.nodes_by_id.values()
+            if node.host.failure_domain == failure_domain
+            and node.topology.is_reader()
+        ]
+
+    def versions(self):
+        """Return the set of version numbers in force, 0 for none."""
+        return {
+            (
+                node.store.configuration.head.version
+                if node.store.configuration
+                else 0
+            )
+            for node in self.nodes_by_id.values()
+        }
+
+    async def wait_version(self, version, timeout):
+        """Wait until all nodes enforce a version; return the seconds."""
+        started_at = trio.current_time()
+        with trio.fail_after(timeout):
+            while self.versions() != {version}:
+                await trio.sleep(0.01)
+        return trio.current_time() - started_at
