--- a/shallotbridge/core/gate.py
+++ b/shallotbridge/core/gate.py
@@ -24,6 +24,11 @@
 MAXIMUM_UNWRITTEN_LINES = 10_000
 # Answers in a row that clear ``leaving`` when only health reported it.
 HEALTHY_ANSWERS = 3
+# Weight of the newest response in the smoothed service time.
+SMOOTHING = 0.1
+# A request that ran for less than this multiple of the smoothed service time
+# says nothing about the upstream when it times out: it was sent too late.
+TIMEOUT_FACTOR = 2.0
 LEAVING_BY_HEALTH = "health"
 LEAVING_BY_REFUSAL = "refusal"
 
@@ -122,6 +127,7 @@
         self._unattributed = collections.deque(
             maxlen=suspect_table.MAXIMUM_ENTRIES
         )
+        self._service_seconds = None
         self._last_failure = None
         self._was_in_service = None
         self._lines = collections.deque()
@@ -287,13 +293,15 @@
             return self._start(fingerprint)
         if len(self._queue) >= service.upstream.queue:
             self._drop_passed()
-        if len(self._queue) >= service.upstream.queue:
+        is_full = len(self._queue) >= service.upstream.queue
+        if is_full or self._is_wait_too_long(call):
             kind = errors.OverloadedError
             if self._limit.is_ramping:
                 kind = errors.ColdError
             raise kind(
                 f"{len(self._entries)} of {self._limit.allowed} allowed "
                 f"slots are in use and {len(self._queue)} requests wait"
+                + ("" if is_full else ", too long for the deadline")
             )
         waiter = _Waiter(call=call, fingerprint=fingerprint)
         self._queue.append(waiter)
@@ -322,6 +330,34 @@
             raise
         return waiter.entry
 
+    def _is_wait_too_long(self, call):
+        """Tell whether a place in the queue would not help the request.
+
+        Requests that are sent just before their deadline use slots without
+        a result, and their timeouts would keep the limit low.
+        """
+        if self._service_seconds is None:
+            return False
+        rounds = (len(self._queue) + 1) / self._limit.allowed
+        seconds = (rounds + 1) * self._service_seconds
+        return trio.current_time() + seconds > call.deadline
+
+    def _note_service_time(self, seconds):
+        if self._service_seconds is None:
+            self._service_seconds = seconds
+        else:
+            self._service_seconds += SMOOTHING * (
+                seconds - self._service_seconds
+            )
+
+    def _is_evidence(self, entry):
+        """Tell whether a timeout speaks against the upstream."""
+        seconds = trio.current_time() - entry.started
+        return (
+            self._service_seconds is None
+            or seconds >= TIMEOUT_FACTOR * self._service_seconds
+        )
+
     def _leave_queue(self, waiter):
         if waiter.entry is not None:
             self._release(waiter.entry)
@@ -415,6 +451,7 @@
                 self._keys.finish(key, response)
         self._on_answer(response.header("x-instance"))
         self._limit.on_success()
+        self._note_service_time(trio.current_time() - entry.started)
         self._suspects.on_success(entry.fingerprint)
         self._release(entry)
         return response
@@ -441,7 +478,9 @@
             finally:
                 self._release(entry)
         else:
-            if isinstance(error, errors.DeadlineAfterSendError):
+            if isinstance(
+                error, errors.DeadlineAfterSendError
+            ) and self._is_evidence(entry):
                 self._limit.on_timeout(entry.started)
             self._release_later(entry)
 
