Add the hop benchmark

Cause: the target of 1.8 ms added at the 99th percentile needs a figure. Change: bench/hop.py measures entry and owner in processes of their own against direct calls in the same run, and a Quart variant. The machine is shared with other work.

--- /dev/null
+++ b/bench/hop.py
@@ -0,0 +1,415 @@
+"""Latency and processor time that entry and owner node add to a call.
+
+Run ``python -m bench.hop``. A load generator sends the same open-loop
+arrivals directly to a trivial upstream and through an entry node and an
+owner node, each in a process of its own. ``--variant quart`` measures two
+hops of Quart on Hypercorn with httpx instead.
+"""
+
+import argparse
+import contextlib
+import cProfile
+import functools
+import gc
+import json
+import os
+import random
+import subprocess
+import sys
+import tempfile
+import time
+
+import eliot
+import psutil
+import trio
+
+from shallotbridge.core import decisions
+from shallotbridge.core import entry
+from shallotbridge.core import errors
+from shallotbridge.core import forwarding
+from shallotbridge.core import model
+from shallotbridge.core import owner
+from shallotbridge.core import pool
+from shallotbridge.core import serving
+from shallotbridge.transports import tcp
+
+UPSTREAM_ADDRESS = "127.7.0.2"
+ENTRY_ADDRESS = "127.7.0.1"
+CALLER_PORT = 7400
+# The bound of the design page, section 2.5.
+TARGET_P99_MS = 1.8
+TARGET_RATE = 88
+KNEE_RATES = (200, 400, 600, 800, 1000, 1200, 1600)
+BODY = b"x" * 1024
+WARM_UP_SECONDS = 2.0
+# Latency from the intended arrival, so that a stall counts for all that
+# arrive during it.
+DEADLINE_SECONDS = 5.0
+ROUTE = model.Route(
+    name="browse",
+    service="showroom",
+    method="GET",
+    path="/showroom/stock",
+    is_idempotent=True,
+    deadline_seconds=DEADLINE_SECONDS,
+    retry_ratio=0.1,
+)
+
+
+def _configuration():
+    limits = model.UpstreamLimits(
+        failure_domains=("cairo-1",),
+        slots=1000,
+        connections=1000,
+        cold_slots=1000,
+        ramp_seconds=1.0,
+        queue=0,
+    )
+    service = model.Service(
+        name=ROUTE.service,
+        upstream=limits,
+        routes_by_name=model.by_key([ROUTE], "name"),
+    )
+    return model.Configuration(
+        head=model.HeadReference(version=1, digest=b"d"),
+        mesh_name="bench",
+        failure_domains_by_name={},
+        services_by_name=model.by_key([service], "name"),
+    )
+
+
+def _host(host_id, address):
+    return model.Host(
+        host_id=host_id,
+        address=address,
+        service=ROUTE.service,
+        failure_domain="cairo-1",
+    )
+
+
+class _Fixed:
+    """A directory with one candidate, an open gate and a full budget."""
+
+    free = 1
+
+    def __init__(self):
+        self.configuration = _configuration()
+        self.host = _host("owner", UPSTREAM_ADDRESS)
+
+    def choose(self, call, excluded):
+        if excluded:
+            raise errors.NoUpstreamError("the only host was tried")
+        return self.host
+
+    async def run(self, call, send):
+        return await send(call)
+
+    def ignore(self, *arguments):
+        pass
+
+    on_sent = on_response = on_refused = on_failed = on_ended = ignore
+    on_request = ignore
+
+    def try_spend(self):
+        return True
+
+
+async def _serve_upstream():
+    async def answer(request):
+        headers = (
+            model.Header(name="content-type", value="text/plain"),
+            model.Header(
+                name="x-request-id",
+                value=request.header("x-request-id") or "",
+            ),
+        )
+        response = model.Response(status=200, headers=headers, body=BODY)
+        return response, lambda: None
+
+    server = serving.ConnectionServer(answer=answer, refuse=None)
+    await tcp.serve(UPSTREAM_ADDRESS, owner.UPSTREAM_PORT, server.handle)
+
+
+async def _serve_owner():
+    fixed = _Fixed()
+    server = owner.OwnerServer(
+        own_host=fixed.host,
+        store=fixed,
+        gate=fixed,
+        open_stream=tcp.open_stream,
+        maximum_connections=1000,
+    )
+    await tcp.serve(UPSTREAM_ADDRESS, forwarding.FORWARD_PORT, server.handle)
+
+
+async def _serve_entry():
+    fixed = _Fixed()
+    server = entry.EntryServer(
+        own_host=_host("entry", ENTRY_ADDRESS),
+        store=fixed,
+        find_route=lambda configuration, method, target: ROUTE,
+        directory=fixed,
+        forwarder=forwarding.Forwarder(open_stream=tcp.open_stream),
+        run_local=None,
+        retry_budget_of=lambda service: fixed,
+        random=random.Random(1),
+        record=decisions.record,
+    )
+    await tcp.serve(ENTRY_ADDRESS, CALLER_PORT, server.handle)
+
+
+async def _serve_quart(address, port, next_url):
+    import httpx
+    import hypercorn.config
+    import hypercorn.trio
+    import quart
+    import quart_trio
+
+    app = quart_trio.QuartTrio("hop")
+    config = hypercorn.config.Config()
+    config.bind = [f"{address}:{port}"]
+    async with httpx.AsyncClient() as client:
+
+        @app.route("/<path:path>", methods=["GET", "POST"])
+        async def forward(path):
+            response = await client.request(
+                quart.request.method,
+                f"{next_url}/{path}",
+                headers=[
+                    (name, value)
+                    for name, value in quart.request.headers
+                    if name.lower() not in ("host", "connection")
+                ],
+                content=await quart.request.get_data(),
+            )
+            decisions.record("route", chosen=next_url)
+            return response.content, response.status_code
+
+        await hypercorn.trio.serve(app, config)
+
+
+SERVERS_BY_ROLE = {
+    "upstream": _serve_upstream,
+    "owner": _serve_owner,
+    "entry": _serve_entry,
+    "quart-owner": functools.partial(
+        _serve_quart,
+        UPSTREAM_ADDRESS,
+        forwarding.FORWARD_PORT,
+        f"http://{UPSTREAM_ADDRESS}:{owner.UPSTREAM_PORT}",
+    ),
+    "quart-entry": functools.partial(
+        _serve_quart,
+        ENTRY_ADDRESS,
+        CALLER_PORT,
+        f"http://{UPSTREAM_ADDRESS}:{forwarding.FORWARD_PORT}",
+    ),
+}
+
+
+async def _run_role(role):
+    """Serve until standard input ends, so that no process outlives us."""
+
+    async def stop_with_parent(cancel_scope):
+        await trio.to_thread.run_sync(sys.stdin.read, abandon_on_cancel=True)
+        cancel_scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(stop_with_parent, nursery.cancel_scope)
+        gc.collect()
+        gc.freeze()
+        await SERVERS_BY_ROLE[role]()
+
+
+def _serve_role(role, profile):
+    # Production writes the decision log to a file or a pipe.
+    with tempfile.TemporaryFile("w") as log:
+        eliot.to_file(log)
+        if not profile:
+            trio.run(_run_role, role)
+            return
+        profiler = cProfile.Profile()
+        with contextlib.suppress(KeyboardInterrupt):
+            profiler.runcall(trio.run, _run_role, role)
+        profiler.dump_stats(f"{profile}.{role}")
+
+
+async def _load(client, rate, seconds, seed):
+    """Send Poisson arrivals; return latencies in milliseconds."""
+    source = random.Random(seed)
+    latencies = []
+    failures = []
+    request = model.Request(
+        method="GET",
+        target=ROUTE.path,
+        headers=(
+            model.Header(name="host", value="bench"),
+            model.Header(name="accept", value="application/json"),
+            model.Header(name="user-agent", value="bench"),
+        ),
+    )
+
+    async def send(intended):
+        try:
+            response = await client.exchange(
+                request, intended + DEADLINE_SECONDS
+            )
+            if response.status != 200:
+                failures.append(response.status)
+        except errors.CallError as error:
+            failures.append(error.code)
+        latencies.append((trio.current_time() - intended) * 1000)
+
+    async with trio.open_nursery() as nursery:
+        intended = trio.current_time()
+        end = intended + seconds
+        while intended < end:
+            await trio.sleep_until(intended)
+            nursery.start_soon(send, intended)
+            intended += source.expovariate(rate)
+    return latencies, failures
+
+
+def _percentiles(latencies):
+    ordered = sorted(latencies)
+    return {
+        name: round(ordered[min(len(ordered) - 1, int(len(ordered) * q))], 3)
+        for name, q in (("p50", 0.5), ("p99", 0.99), ("p99.9", 0.999))
+    }
+
+
+def _processor_seconds(processes):
+    return [
+        sum(psutil.Process(each.pid).cpu_times()[:2]) for each in processes
+    ]
+
+
+async def _measure(direct, mesh, processes, rate, seconds, rounds):
+    """Alternate direct and mesh load, so that both see the same machine."""
+    by_path = {"direct": [], "mesh": []}
+    failures = []
+    processor = 0.0
+    for number in range(rounds):
+        for name, client in (("direct", direct), ("mesh", mesh)):
+            before = sum(_processor_seconds(processes))
+            latencies, failed = await _load(
+                client, rate, seconds / rounds, number
+            )
+            if name == "mesh":
+                processor += sum(_processor_seconds(processes)) - before
+            by_path[name] += latencies
+            failures += failed
+    found = {name: _percentiles(each) for name, each in by_path.items()}
+    found["added"] = {
+        name: round(found["mesh"][name] - found["direct"][name], 3)
+        for name in found["mesh"]
+    }
+    return {
+        "rate": rate,
+        "requests": len(by_path["mesh"]),
+        "failures": len(failures),
+        **found,
+        "processor_ms_per_request": round(
+            processor * 1000 / len(by_path["mesh"]), 3
+        ),
+    }
+
+
+async def _wait_listening(address, port):
+    with trio.fail_after(20):
+        while True:
+            try:
+                await trio.aclose_forcefully(
+                    await tcp.open_stream(address, port)
+                )
+                return
+            except OSError:
+                await trio.sleep(0.05)
+
+
+async def _run(arguments, processes):
+    endpoints = (
+        (UPSTREAM_ADDRESS, owner.UPSTREAM_PORT),
+        (UPSTREAM_ADDRESS, forwarding.FORWARD_PORT),
+        (ENTRY_ADDRESS, CALLER_PORT),
+    )
+    for endpoint in endpoints:
+        await _wait_listening(*endpoint)
+    direct, mesh = (
+        pool.ConnectionPool(
+            open_stream=tcp.open_stream,
+            address=address,
+            port=port,
+            maximum=500,
+            # The load generator states no id, so there is none to compare.
+            id_header="x-no-id",
+        )
+        for address, port in (endpoints[0], endpoints[2])
+    )
+    hops = processes[1:]
+    gc.collect()
+    gc.freeze()
+    for client in (direct, mesh):
+        await _load(client, TARGET_RATE, WARM_UP_SECONDS, 0)
+    found = await _measure(
+        direct, mesh, hops, TARGET_RATE, arguments.seconds, 5
+    )
+    print(json.dumps(found), flush=True)
+    is_met = found["added"]["p99"] <= TARGET_P99_MS and not found["failures"]
+    if arguments.knee:
+        for rate in KNEE_RATES:
+            found = await _measure(direct, mesh, hops, rate, 4.0, 1)
+            print(json.dumps(found), flush=True)
+            if found["failures"] or found["added"]["p50"] > TARGET_P99_MS:
+                break
+    return is_met
+
+
+def main():
+    """Measure, print JSON lines, and fail if the target is missed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--role", choices=SERVERS_BY_ROLE)
+    parser.add_argument("--variant", choices=("own", "quart"), default="own")
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--knee", action="store_true")
+    parser.add_argument("--profile", default="")
+    arguments = parser.parse_args()
+    if arguments.role:
+        _serve_role(arguments.role, arguments.profile)
+        return 0
+    prefix = "quart-" if arguments.variant == "quart" else ""
+    roles = ("upstream", f"{prefix}owner", f"{prefix}entry")
+    command = [sys.executable, "-m", "bench.hop"]
+    if arguments.profile:
+        command += ["--profile", arguments.profile]
+    processes = [
+        subprocess.Popen([*command, "--role", role], stdin=subprocess.PIPE)
+        for role in roles
+    ]
+    load = os.getloadavg()[0]
+    started = time.monotonic()
+    try:
+        is_met = trio.run(_run, arguments, processes)
+    finally:
+        for process in processes:
+            process.stdin.close()
+        for process in processes:
+            try:
+                process.wait(timeout=5)
+            except subprocess.TimeoutExpired:
+                process.kill()
+    print(
+        json.dumps(
+            {
+                "variant": arguments.variant,
+                "load_average_at_start": load,
+                "seconds": round(time.monotonic() - started, 1),
+                "is_target_met": is_met,
+            }
+        )
+    )
+    return 0 if is_met or arguments.variant == "quart" else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
