--- a/shallotbridge/core/logs.py
+++ b/shallotbridge/core/logs.py
@@ -163,12 +163,16 @@
             log_file, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644
         )
     writer = LogWriter(descriptor=descriptor)
-    file_destination = eliot.FileDestination(file=writer)
-    eliot.add_destinations(file_destination, ring)
-    eliot.add_global_fields(host=host_id)
+    write = eliot.FileDestination(file=writer)
+
+    def write_with_host(message):
+        # A global field of eliot could not be removed at the stop.
+        write(message | {"host": host_id})
+
+    eliot.add_destinations(write_with_host, ring)
 
     def stop():
-        eliot.remove_destination(file_destination)
+        eliot.remove_destination(write_with_host)
         eliot.remove_destination(ring)
         writer.close()
 
