Start the demo's processes from the main thread

Cause: the kernel ends a child when the thread that started it ends; worker threads of trio end after 10 s without work, which killed an upstream. Change: start refuses other threads; the demo starts everything first.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -367,7 +367,8 @@
     """Run all steps; returns the exit status."""
     demo = Demo(running=running)
     print(f"{len(demo.hosts)} nodes and upstreams in {', '.join(DOMAINS)}")
-    await trio.to_thread.run_sync(demo.start_all)
+    # Not in a worker thread: see Processes.start.
+    demo.start_all()
     callers = load.Callers(
         addresses=[host.address for host in demo.hosts],
         kinds=KINDS,
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 
 import httpx
@@ -71,7 +72,17 @@
         self.close()
 
     def start(self, name, arguments, *, environment=None):
-        """Start a Python module with arguments; output goes to a file."""
+        """Start a Python module with arguments; output goes to a file.
+
+        Raises
+        ------
+        ProcessError
+            The caller is not the main thread. The kernel ends a child when
+            the thread that started it ends, and worker threads of trio end
+            after 10 s without work.
+        """
+        if threading.current_thread() is not threading.main_thread():
+            raise ProcessError(f"{name}: not started by the main thread")
         log = (self.directory / f"{name}.log").open("ab")
         with log:
             self._processes_by_name[name] = subprocess.Popen(
