Test the distribution modules and ask other domains at a start

Cause: a failure domain that restarts as a whole beside a stale platform enforced the platform's old version; a reader without any source kept its version for up to a poll's wait; a head of version 0 from a peer passed silently. Change: a start also waits for a peer of another domain if one is known, polls are repeated when another source gives a newer head, and malformed heads are rejected; focused tests of all distribution modules.

--- a/shallotbridge/core/platform.py
+++ b/shallotbridge/core/platform.py
@@ -275,7 +275,9 @@
 
     async def _read_pending(self):
         first_error = None
-        for key in sorted(self._pending):
+        # Hosts come first, so that a starting node that has a version from
+        # the platform also knows whom to ask for a higher one.
+        for key in sorted(self._pending, reverse=True):
             try:
                 if key == parts.HEAD_KEY:
                     await self._read_configuration()
--- a/shallotbridge/core/startup.py
+++ b/shallotbridge/core/startup.py
@@ -29,11 +29,15 @@
     fleet_size,
     random,
     start_wait=START_WAIT_SECONDS,
+    task_status=trio.TASK_STATUS_IGNORED,
 ):
     """Collect what peers know and then enable enforcement.
 
-    Runs beside ``SyncClient.run`` and ``PlatformReader.run``, or before
-    them.
+    Use ``await nursery.start(...)``: it returns when the first peers are
+    known, and ``SyncClient.run`` and ``PlatformReader.run`` are started then,
+    beside this function. Not before, because that would undo the spreading
+    of first reads; not after, because the hosts of other domains and the
+    platform's version come from them.
 
     Parameters
     ----------
@@ -67,17 +71,18 @@
             decisions.record(
                 "platform_read_failed", code=error.code, reason=error.detail
             )
-    informed = set()
+    task_status.started()
+    informed_by_id = {}
     reason = "start_wait elapsed"
     with trio.move_on_after(start_wait):
         await _ask_until_informed(
-            own_host, hosts, client, seeds, random, informed
+            own_host, hosts, client, seeds, random, informed_by_id
         )
         reason = "enough peers answered"
     decisions.record(
         "start",
         chosen=store.head.version,
-        candidates=sorted(informed),
+        candidates=sorted(informed_by_id),
         reason=reason,
     )
     store.enable_enforcement()
@@ -85,48 +90,79 @@
 
 
 async def _ask_until_informed(
-    own_host, hosts, client, seeds, random, informed
+    own_host, hosts, client, seeds, random, informed_by_id
 ):
-    """Ask peers until enough of them stated a version.
+    """Ask until peers of the own and of another domain stated a version.
 
-    Peers that start themselves know nothing, so they don't count: the
-    version before the restart may be known to others only.
+    Peers that start themselves know nothing, so they don't count. Another
+    domain is asked because the own one may have been restarted as a whole,
+    and then know no more than a stale platform.
     """
+
+    def is_enough(heads_by_id):
+        answered = [
+            host
+            for host in own + remote
+            if host.host_id in heads_by_id
+            and heads_by_id[host.host_id].version
+        ] + list(informed_by_id.values())
+        is_own = [
+            host.failure_domain == own_host.failure_domain for host in answered
+        ]
+        return is_own.count(True) >= wanted_own and (
+            False in is_own or not remote
+        )
+
     while True:
-        candidates = _candidates(own_host, hosts, client, random)
-        known_ids = {host.host_id for host in candidates}
-        if not candidates:
-            candidates = seeds
-        wanted = min(WANTED_PEERS, len(candidates) + len(informed - known_ids))
-        if candidates and len(informed) >= wanted:
+        own, remote = _candidates(
+            own_host, hosts, client, random, informed_by_id
+        )
+        wanted_own = min(
+            WANTED_PEERS,
+            len(own)
+            + sum(
+                host.failure_domain == own_host.failure_domain
+                for host in informed_by_id.values()
+            ),
+        )
+        if (own or remote or informed_by_id) and is_enough({}):
             return
-        batch = [host for host in candidates if host.host_id not in informed][
-            : WANTED_PEERS + REMOTE_PEERS
-        ]
+        batch = own[:WANTED_PEERS] + remote
         heads_by_id = await client.ask(
-            batch, ASK_TIMEOUT_SECONDS, enough=wanted - len(informed)
+            batch or seeds, ASK_TIMEOUT_SECONDS, is_enough
         )
-        found = {
-            host_id for host_id, head in heads_by_id.items() if head.version
-        }
-        informed |= found
+        found = [
+            host
+            for host in batch
+            if host.host_id in heads_by_id
+            and heads_by_id[host.host_id].version
+        ]
+        informed_by_id.update((host.host_id, host) for host in found)
         if not found:
             await trio.sleep(random.uniform(0.5, 1.0) * RETRY_SECONDS)
 
 
-def _candidates(own_host, hosts, client, random):
-    """Return hosts to ask: three of the own domain, then of others."""
+def _candidates(own_host, hosts, client, random, informed_by_id):
+    """Return hosts not yet informed: own domain, and one in each of others.
+
+    No other domain is returned once one of its hosts answered.
+    """
     own = []
     remote_by_domain = {}
     for host in hosts.hosts_by_id.values():
-        if not client.is_other(host):
+        if not client.is_other(host) or host.host_id in informed_by_id:
             continue
         if host.failure_domain == own_host.failure_domain:
             own.append(host)
         else:
             remote_by_domain.setdefault(host.failure_domain, []).append(host)
     random.shuffle(own)
+    if any(
+        host.failure_domain != own_host.failure_domain
+        for host in informed_by_id.values()
+    ):
+        return own, []
     domains = sorted(remote_by_domain)
     chosen_domains = random.sample(domains, min(REMOTE_PEERS, len(domains)))
     remote = [random.choice(remote_by_domain[name]) for name in chosen_domains]
-    return own[:WANTED_PEERS] + remote + own[WANTED_PEERS:]
+    return own, remote
--- a/shallotbridge/core/store.py
+++ b/shallotbridge/core/store.py
@@ -151,9 +151,18 @@
             and candidate.digest != current.head.digest
             and current.head != model.NO_HEAD
         )
-        if not is_conflict and model.NO_HEAD < candidate <= current.head:
+        is_well_formed = (
+            candidate.version > 0 and len(candidate.digest) == _DIGEST_BYTES
+        )
+        if is_well_formed and not is_conflict and candidate <= current.head:
             return False
         try:
+            if not is_well_formed:
+                raise errors.MalformedPartError(
+                    f"head has version {candidate.version} and a digest of "
+                    f"{len(candidate.digest)} bytes; expected 1 or more and "
+                    f"{_DIGEST_BYTES}"
+                )
             version = self._verify(candidate, update)
         except errors.DeltaBaseError as error:
             decisions.record(
@@ -221,12 +230,6 @@
         return self.configuration
 
     def _verify(self, candidate, update):
-        if candidate.version < 1 or len(candidate.digest) != _DIGEST_BYTES:
-            raise errors.MalformedPartError(
-                f"head has version {candidate.version} and a digest of "
-                f"{len(candidate.digest)} bytes; expected 1 or more and "
-                f"{_DIGEST_BYTES}"
-            )
         contents_by_name = self._contents_of(update)
         current = self._current
         digests_by_name = {
--- a/shallotbridge/core/sync.py
+++ b/shallotbridge/core/sync.py
@@ -22,6 +22,9 @@
 # A call that ends later than its timeout by this was delayed by a pause of
 # this process, which says nothing about the peer.
 PAUSE_SECONDS = 1.0
+# Time that a held call is left to end by itself after another source gave a
+# newer head; parents usually get it at about the same time.
+OUTDATED_SECONDS = 0.4
 # Peers that sync_once asks at once.
 SYNC_ONCE_PEERS = 3
 # Of these, so many answers with a version are waited for.
@@ -246,11 +249,13 @@
         missing = max(0, SYNC_ONCE_PEERS - len(wanted))
         wanted += self._random.sample(others, min(missing, len(others)))
         heads_by_id = await self.ask(
-            wanted[:SYNC_ONCE_PEERS], timeout, enough=SYNC_ONCE_ENOUGH
+            wanted[:SYNC_ONCE_PEERS],
+            timeout,
+            lambda heads_by_id: _informed(heads_by_id) >= SYNC_ONCE_ENOUGH,
         )
         return len(heads_by_id)
 
-    async def ask(self, hosts, timeout=SYNC_ONCE_SECONDS, enough=None):
+    async def ask(self, hosts, timeout=SYNC_ONCE_SECONDS, is_enough=None):
         """Ask several peers at once, without waiting for news.
 
         Parameters
@@ -258,8 +263,8 @@
         hosts : iterable of model.Host
         timeout : float
             Seconds.
-        enough : int, optional
-            Return as soon as so many peers stated a version.
+        is_enough : callable, optional
+            Return as soon as it is true of the answers so far.
 
         Returns
         -------
@@ -280,10 +285,7 @@
                 heads_by_id[host.host_id] = store_module.from_message(
                     reply.head
                 )
-                informed = sum(
-                    head.version > 0 for head in heads_by_id.values()
-                )
-                if enough is not None and informed >= enough:
+                if is_enough is not None and is_enough(heads_by_id):
                     nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
@@ -389,7 +391,7 @@
                 previous = self._store.head, self._hosts.generation
                 timeout = self._poll_wait + ANSWER_SECONDS
                 try:
-                    await self.exchange(parent, self._poll_wait, timeout)
+                    is_answered = await self._poll(parent, timeout)
                 except errors.DistributionError as error:
                     failures += 1
                     self._record_failure(parent, error)
@@ -405,6 +407,8 @@
                         )
                     )
                     continue
+                if not is_answered:
+                    continue
                 failures = 0
                 self._topology.clear(parent.host_id)
                 elapsed = trio.current_time() - started_at
@@ -419,6 +423,40 @@
                         self._random.uniform(0.1, 0.5) * self._poll_wait
                     )
 
+    async def _poll(self, parent, timeout):
+        """Poll a parent; ask anew when another source gave a newer head.
+
+        A call that is held states the old head. Stating the new one tells a
+        parent that is behind, which then asks this node.
+
+        Returns
+        -------
+        bool
+            Whether the parent answered.
+        """
+        # Errors are raised outside the nursery, which would group them.
+        caught = None
+        is_answered = False
+        async with trio.open_nursery() as nursery:
+
+            async def end_when_outdated():
+                await self._store.wait_newer(self._store.head)
+                await trio.sleep(
+                    self._random.uniform(0.5, 1.0) * OUTDATED_SECONDS
+                )
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(end_when_outdated)
+            try:
+                await self.exchange(parent, self._poll_wait, timeout)
+                is_answered = True
+            except errors.DistributionError as error:
+                caught = error
+            nursery.cancel_scope.cancel()
+        if caught is not None:
+            raise caught
+        return is_answered
+
     def _record_failure(self, host, error):
         decisions.record(
             "sync_failed",
@@ -427,3 +465,8 @@
             code=error.code,
             reason=error.detail,
         )
+
+
+def _informed(heads_by_id):
+    """Return the number of peers that stated a version."""
+    return sum(head.version > 0 for head in heads_by_id.values())
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -270,6 +270,8 @@
 def make_application(state):
     """Return the HTTP application that nodes read."""
     application = quart_trio.QuartTrio("platform")
+    # A watch may wait for longer than the default of 60 s.
+    application.config["RESPONSE_TIMEOUT"] = None
 
     @application.get("/v1/values/<path:key>")
     async def read(key):
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -70,6 +70,21 @@
     await fleet.wait_version(2, CONVERGENCE_SECONDS)
 
 
+async def test_a_reader_without_any_source_follows_its_children(
+    nursery, autojump_clock
+):
+    """Guards against a reader that keeps an old version for a poll's wait."""
+    fleet = await start_fleet(nursery)
+    cut = fleet.readers("cairo-1")[0]
+    fleet.ids_without_platform.add(cut.host.host_id)
+    fleet.network.cut(
+        [cut.host.address],
+        [host.address for host in fleet.hosts_by_domain["cairo-2"]],
+    )
+    fleet.publish(make_version(2))
+    await fleet.wait_version(2, CONVERGENCE_SECONDS)
+
+
 async def test_a_partition_heals_upward(nursery, autojump_clock):
     """Guards against a split that persists or reverts after healing."""
     fleet = await start_fleet(nursery)
--- /dev/null
+++ b/tests/core/test_platform.py
@@ -0,0 +1,224 @@
+"""Tests of reading the platform."""
+
+import dataclasses
+import random
+
+import httpx
+import pytest
+import trio
+
+from shallotbridge._generated import configuration_pb2
+from shallotbridge.core import errors
+from shallotbridge.core import hosts as hosts_module
+from shallotbridge.core import parts
+from shallotbridge.core import platform as platform_module
+from shallotbridge.core import store as store_module
+from shallotbridge.transports import network
+from standins import platform as platform_standin
+from tests import builders
+from tests import memory
+
+
+def make_version(version, deadline=1.0):
+    """Return a configuration of 40 services, one of which varies."""
+    services = [
+        builders.make_service(name=f"service-{number}", routes=[])
+        for number in range(40)
+    ]
+    route = builders.make_route(deadline_seconds=deadline)
+    services.append(builders.make_service(routes=[route]))
+    return builders.make_configuration(version=version, services=services)
+
+
+@dataclasses.dataclass
+class Setup:
+    """A reader with its stand-in."""
+
+    def __post_init__(self):
+        self.state = platform_standin.PlatformState()
+        self.store = store_module.ConfigurationStore()
+        self.hosts = hosts_module.HostTable()
+        self.reader = platform_module.PlatformReader(
+            platform=self.state.as_platform(),
+            store=self.store,
+            hosts=self.hosts,
+            random=random.Random(1),
+        )
+
+    async def wait_version(self, version, timeout=60.0):
+        """Wait until a version is accepted."""
+        with trio.fail_after(timeout):
+            while self.store.head.version != version:
+                await trio.sleep(0.01)
+
+
+async def test_a_change_is_read_with_its_bundle_only(nursery, autojump_clock):
+    """Guards against a cost of each change that grows with the mesh."""
+    setup = Setup()
+    setup.state.put(memory.platform_values(make_version(1)))
+    nursery.start_soon(setup.reader.run)
+    await setup.wait_version(1)
+    await trio.sleep(1)
+    calls = setup.reader.call_count
+    setup.state.put(memory.platform_values(make_version(2, 2.0)))
+    await setup.wait_version(2, 1.0)
+    # The head, one bundle and the next watch.
+    await trio.sleep(1)
+    assert setup.reader.call_count - calls == 3
+
+
+def truncate(content):
+    """Return the first half of a value."""
+    return content[: len(content) // 2]
+
+
+def renumber(content):
+    """Return a head with another version number."""
+    head = configuration_pb2.Head.FromString(content)
+    head.version += 5
+    return head.SerializeToString()
+
+
+@pytest.mark.parametrize(
+    "damage", [truncate, renumber, lambda content: b"", lambda content: None]
+)
+@pytest.mark.parametrize("is_head", [True, False])
+async def test_damaged_values_keep_the_version_in_force(
+    damage, is_head, nursery, autojump_clock
+):
+    """Guards against corrupt, absent or half-published content."""
+    if damage is renumber and not is_head:
+        damage = truncate
+    setup = Setup()
+    setup.state.put(memory.platform_values(make_version(1)))
+    nursery.start_soon(setup.reader.run)
+    await setup.wait_version(1)
+    good = memory.platform_values(make_version(2, 2.0))
+    damaged = {
+        key: damage(value) if (key == parts.HEAD_KEY) == is_head else value
+        for key, value in good.items()
+    }
+    setup.state.put(damaged)
+    await trio.sleep(100)
+    assert setup.store.head == make_version(1).head
+    # Retries are slow: a few calls in each backoff of 15 s on average.
+    calls = setup.reader.call_count
+    await trio.sleep(300)
+    assert setup.reader.call_count - calls < 100
+    setup.state.put(good)
+    await setup.wait_version(2, 40.0)
+
+
+async def test_a_restored_platform_is_not_followed_down(
+    nursery, autojump_clock
+):
+    """Guards against moving back with the platform, or losing its watch."""
+    setup = Setup()
+    old_revision = setup.state.put(memory.platform_values(make_version(1)))
+    nursery.start_soon(setup.reader.run)
+    setup.state.put(memory.platform_values(make_version(5, 2.0)))
+    await setup.wait_version(5)
+    setup.state.rewind(old_revision)
+    await trio.sleep(60)
+    assert setup.store.head.version == 5
+    setup.state.put(memory.platform_values(make_version(6, 3.0)))
+    await setup.wait_version(6, 1.0)
+
+
+async def test_a_second_content_of_a_version_is_a_conflict(
+    nursery, autojump_clock
+):
+    """Guards against a conflict that goes unseen, or is read for ever."""
+    setup = Setup()
+    nursery.start_soon(setup.reader.run)
+    contents = [make_version(1, 1.0), make_version(1, 2.0)]
+    for configuration in contents:
+        setup.state.put(memory.platform_values(configuration))
+        await trio.sleep(5)
+    assert setup.store.head == max(item.head for item in contents)
+    assert setup.store.conflict_count == 1
+
+
+async def test_an_outage_is_retried_slowly_and_ends(nursery, autojump_clock):
+    """Guards against a storm on a platform that is down."""
+    setup = Setup()
+    setup.state.set_mode("down")
+    nursery.start_soon(setup.reader.run)
+    await trio.sleep(600)
+    assert 20 < setup.reader.call_count < 100
+    assert not setup.reader.is_available
+    setup.state.put(memory.platform_values(make_version(1)))
+    setup.state.set_mode("up")
+    await setup.wait_version(1, 31.0)
+
+
+async def test_a_malformed_host_list_does_not_stop_the_others(autojump_clock):
+    """Guards against one bad value that hides the rest."""
+    setup = Setup()
+    setup.state.put(memory.platform_values(make_version(1)))
+    setup.state.put({"hosts/cairo-1": b"{"})
+    setup.state.set_hosts(
+        "cairo-2", [builders.make_host(failure_domain="cairo-2")]
+    )
+    with pytest.raises(errors.MalformedHostListError):
+        await setup.reader.read_once()
+    assert setup.store.head.version == 1
+    assert len(setup.hosts.hosts_by_id) == 1
+
+
+async def test_calls_are_limited_by_the_token_bucket(autojump_clock):
+    """Guards against one node that uses up the platform's rate."""
+    bucket = platform_module.TokenBucket(rate=5.0, burst=20)
+    for _ in range(70):
+        await bucket.take()
+    assert trio.current_time() == pytest.approx(10.0, abs=0.01)
+
+
+@pytest.mark.parametrize(
+    ("status", "content", "error"),
+    [
+        (429, b"", errors.PlatformRateError),
+        (503, b"", errors.PlatformUnavailableError),
+        (200, b"[1]", errors.PlatformUnavailableError),
+        (200, b'{"revision": 1, "keys": 3}', errors.PlatformUnavailableError),
+        (200, bytes(1_000_001), errors.PlatformUnavailableError),
+    ],
+)
+async def test_http_failures_are_typed(status, content, error):
+    """Guards against httpx's errors in the node's logic."""
+    transport = httpx.MockTransport(
+        lambda request: httpx.Response(status, content=content)
+    )
+    async with httpx.AsyncClient(transport=transport) as client:
+        platform = platform_module.http_platform("http://127.0.0.1", client)
+        with pytest.raises(error):
+            await platform.watch(1, 0.0)
+
+
+async def test_the_standin_is_read_over_http(nursery):
+    """Guards against a client and stand-in that differ in the protocol."""
+    state = platform_standin.PlatformState()
+    state.put({"configuration/head": b"\x00head"})
+    url, control_url = await nursery.start(
+        lambda task_status: platform_standin.serve(
+            state,
+            address="127.0.0.1",
+            port=0,
+            control_port=0,
+            task_status=task_status,
+        )
+    )
+    async with httpx.AsyncClient(trust_env=False) as client:
+        platform = platform_module.http_platform(url, client)
+        change = network.PlatformChange(
+            revision=1, keys=("configuration/head",)
+        )
+        assert await platform.watch(0, 30.0) == change
+        assert await platform.read("configuration/head") == b"\x00head"
+        assert await platform.read("absent") is None
+        await client.put(f"{control_url}/control/values/a/b", content=b"1")
+        assert (await platform.watch(1, 30.0)).keys == ("a/b",)
+        await client.put(f"{control_url}/control/mode", json={"mode": "down"})
+        with pytest.raises(errors.PlatformUnavailableError):
+            await platform.read("a/b")
+    nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/core/test_sync.py
@@ -0,0 +1,266 @@
+"""Tests of the exchange between nodes."""
+
+import random
+
+import pytest
+import trio
+
+from shallotbridge._generated import configuration_pb2
+from shallotbridge._generated import peer_pb2
+from shallotbridge.core import errors
+from shallotbridge.core import hosts as hosts_module
+from shallotbridge.core import model
+from shallotbridge.core import store as store_module
+from shallotbridge.core import sync
+from shallotbridge.core import topology
+from shallotbridge.transports import network
+from tests import builders
+from tests import memory
+
+OWN_HOST = builders.make_host("child", address="127.0.1.9")
+
+
+def make_version(version):
+    """Return an update with a full copy of a version."""
+    route = builders.make_route(deadline_seconds=float(version))
+    service = builders.make_service(routes=[route])
+    return builders.make_full_update(
+        builders.make_configuration(version=version, services=[service])
+    )
+
+
+def make_request(store, wait=5.0, sender="child"):
+    """Return the request of a node that has what a store holds."""
+    return peer_pb2.SyncRequest(
+        sender=sender,
+        head=store_module.to_message(store.head),
+        wait_ms=round(wait * 1000),
+    )
+
+
+def make_server(**options):
+    """Return a server of version 1 with its store and hosts."""
+    store, hosts = store_module.ConfigurationStore(), hosts_module.HostTable()
+    store.apply(make_version(1))
+    server = sync.SyncServer(
+        host_id="parent", store=store, hosts=hosts, **options
+    )
+    return server, store, hosts
+
+
+async def test_a_held_call_ends_with_a_version_or_hosts(
+    nursery, autojump_clock
+):
+    """Guards against changes that wait for the next poll."""
+    server, store, hosts = make_server()
+
+    async def change():
+        await trio.sleep(1)
+        hosts.replace("cairo-1", 1, [builders.make_host()])
+        await trio.sleep(1)
+        store.apply(make_version(2))
+
+    nursery.start_soon(change)
+    reply = await server.sync(make_request(store))
+    assert (trio.current_time(), len(reply.hosts)) == (1.0, 1)
+    request = make_request(store)
+    request.host_revisions["cairo-1"] = 1
+    reply = await server.sync(request)
+    assert (trio.current_time(), reply.update.head.version) == (2.0, 2)
+    assert not (await server.sync(request)).hosts
+
+
+async def test_calls_beyond_the_bound_are_answered_at_once(
+    nursery, autojump_clock
+):
+    """Guards against threads exhausted by held calls."""
+    server, store, _ = make_server(maximum_held=2)
+    for _ in range(2):
+        nursery.start_soon(server.sync, make_request(store))
+    await trio.testing.wait_all_tasks_blocked()
+    await server.sync(make_request(store))
+    assert trio.current_time() == 0.0
+    await trio.sleep(5.1)
+    assert server.held_count == 0
+
+
+async def test_a_sender_that_is_ahead_is_reported():
+    """Guards against a reader of a stale platform that stays behind."""
+    ahead = []
+    server, store, _ = make_server(on_ahead=ahead.append)
+    newer = store_module.ConfigurationStore()
+    newer.apply(make_version(2))
+    await server.sync(make_request(newer, wait=0))
+    await server.sync(make_request(store, wait=0))
+    assert ahead == ["child"]
+
+
+class ClientSetup:
+    """A client with two parents whose replies a test chooses."""
+
+    def __init__(self):
+        self.store = store_module.ConfigurationStore()
+        self.store.apply(make_version(1))
+        self.hosts = hosts_module.HostTable()
+        self.parents = [
+            builders.make_host(f"p{number}", address=f"127.0.1.{number}")
+            for number in range(1, 3)
+        ]
+        self.hosts.replace("cairo-1", 1, [*self.parents, OWN_HOST])
+        self.topology = topology.Topology(
+            own_host=OWN_HOST, hosts=self.hosts, readers=0
+        )
+        self.requests = []
+        self.replies = {}
+        self.client = sync.SyncClient(
+            own_host=OWN_HOST,
+            store=self.store,
+            hosts=self.hosts,
+            topology=self.topology,
+            peers=network.Peers(
+                sync=self._sync,
+                report_crash=None,
+                lookup_key=None,
+                hand_over=None,
+                serve=None,
+            ),
+            random=random.Random(1),
+        )
+
+    async def _sync(self, address, request, timeout):
+        self.requests.append((address, request))
+        if address not in self.replies:
+            await trio.sleep(timeout)
+            raise errors.PeerUnavailableError("silent")
+        return await self.replies[address](request)
+
+
+def damaged_reply(kind):
+    """Return a reply that a correct node never sends."""
+    update = make_version(2)
+    reply = peer_pb2.SyncReply(update=update)
+    if kind == "digest":
+        reply.update.changed.pop()
+    elif kind == "part":
+        reply.update.changed[0].content = b"\xff"
+    elif kind == "version":
+        reply.update.head.version = 0
+    else:
+        reply.ClearField("update")
+        reply.hosts.add(failure_domain="cairo-1", revision=0)
+    return reply
+
+
+@pytest.mark.parametrize("kind", ["digest", "part", "version", "hosts"])
+async def test_a_malformed_reply_makes_the_peer_suspect(
+    kind, nursery, autojump_clock
+):
+    """Guards against a peer whose bad replies are used or asked in a loop."""
+    setup = ClientSetup()
+
+    async def reply(request):
+        return damaged_reply(kind)
+
+    setup.replies["127.0.1.1"] = reply
+    nursery.start_soon(setup.client.run)
+    await trio.sleep(5.0)
+    assert setup.topology.suspected_ids() == {"p1"}
+    assert setup.store.head.version == 1
+    assert [address for address, _ in setup.requests].count("127.0.1.1") == 1
+
+
+async def test_a_delta_that_does_not_fit_is_followed_by_a_full_copy(
+    nursery, autojump_clock
+):
+    """Guards against a child that can never apply its parent's deltas."""
+    setup = ClientSetup()
+
+    async def reply(request):
+        if not request.head.version:
+            return peer_pb2.SyncReply(update=make_version(2))
+        if request.head.version == 2:
+            await trio.sleep(5)
+            return peer_pb2.SyncReply()
+        update = make_version(2)
+        update.base.CopyFrom(request.head)
+        update.changed.append(configuration_pb2.Part(name="extra"))
+        return peer_pb2.SyncReply(update=update)
+
+    setup.replies["127.0.1.1"] = reply
+    nursery.start_soon(setup.client.run)
+    await trio.sleep(1)
+    assert setup.store.head.version == 2
+    assert not setup.topology.suspected_ids()
+
+
+async def test_a_parent_that_holds_no_calls_is_not_polled_in_a_loop(
+    nursery, autojump_clock
+):
+    """Guards against a busy loop between a child and a full parent."""
+    setup = ClientSetup()
+
+    async def reply(request):
+        return peer_pb2.SyncReply(head=request.head)
+
+    for host in setup.parents:
+        setup.replies[host.address] = reply
+    nursery.start_soon(setup.client.run)
+    await trio.sleep(60)
+    assert 2 * 24 <= len(setup.requests) <= 2 * 120
+
+
+async def test_a_changed_list_moves_the_tasks_to_the_new_parents(
+    nursery, autojump_clock
+):
+    """Guards against tasks that poll hosts which have left."""
+    setup = ClientSetup()
+    nursery.start_soon(setup.client.run)
+    await trio.sleep(1)
+    new = builders.make_host("p9", address="127.0.1.99")
+    setup.hosts.replace("cairo-1", 2, [new, OWN_HOST])
+    await trio.sleep(0.1)
+    assert {address for address, _ in setup.requests} == {
+        "127.0.1.1",
+        "127.0.1.2",
+        "127.0.1.99",
+    }
+    await trio.sleep(6)
+    # The calls to the old parents were cancelled, not timed out.
+    assert setup.topology.suspected_ids() <= {"p9"}
+
+
+async def test_sync_once_is_bounded_and_counts_answers(autojump_clock):
+    """Guards against new work that waits for silent peers."""
+    setup = ClientSetup()
+
+    async def reply(request):
+        return peer_pb2.SyncReply(update=make_version(3), head=request.head)
+
+    setup.replies["127.0.1.1"] = reply
+    assert await setup.client.sync_once() == 1
+    assert trio.current_time() <= sync.SYNC_ONCE_SECONDS
+    assert setup.store.head.version == 3
+
+
+async def test_both_sides_count_the_same_bytes(autojump_clock):
+    """Guards against control traffic that is measured on one side only."""
+    server, _, _ = make_server()
+    setup = ClientSetup()
+    setup.replies["127.0.1.1"] = server.sync
+    await setup.client.exchange(setup.parents[0], 0.0, 1.0)
+    assert setup.client.bytes_sent == server.bytes_received > 0
+    assert setup.client.bytes_received == server.bytes_sent > 0
+
+
+async def test_a_reply_is_lost_with_the_partition(autojump_clock):
+    """Guards against a memory network that passes replies over a cut."""
+    peer_network = memory.MemoryPeerNetwork()
+    peer_network.cut(["a"], ["b"])
+    with pytest.raises(errors.PeerUnavailableError):
+        await peer_network.peers("a").sync("b", peer_pb2.SyncRequest(), 2.0)
+    assert trio.current_time() == 2.0
+
+
+def test_an_unset_head_means_no_configuration():
+    """Guards against a peer without a configuration that gets no copy."""
+    assert store_module.from_message(peer_pb2.HeadReference()) == model.NO_HEAD
--- a/tests/memory.py
+++ b/tests/memory.py
@@ -1,5 +1,6 @@
 """An in-memory fleet: peers, platform and distribution, on trio's clock."""
 
+import functools
 import random
 
 import trio
@@ -164,15 +165,18 @@
                 self._peers.serve, self.host.address, 0, handlers
             )
             nursery.start_soon(self._observe)
-            await startup.find_configuration(
-                own_host=self.host,
-                store=self.store,
-                hosts=self.hosts,
-                client=self.client,
-                reader=self.reader,
-                seed_hosts=self.topology.seeds,
-                fleet_size=self._fleet_size,
-                random=self._random,
+            await nursery.start(
+                functools.partial(
+                    startup.find_configuration,
+                    own_host=self.host,
+                    store=self.store,
+                    hosts=self.hosts,
+                    client=self.client,
+                    reader=self.reader,
+                    seed_hosts=self.topology.seeds,
+                    fleet_size=self._fleet_size,
+                    random=self._random,
+                )
             )
             nursery.start_soon(self.client.run)
             nursery.start_soon(self.reader.run)
@@ -206,6 +210,9 @@
         self.nodes_by_id = {}
         self.hosts_by_domain = {}
         self.domains_without_platform = set()
+        self.ids_without_platform = set()
+        self.fleet_size = sum(domains.values())
+        self.first_call_times_by_id = {}
         self._nursery = nursery
         self._seed = seed
         self._scopes_by_id = {}
@@ -235,15 +242,23 @@
     def start(self, host, seeds=()):
         """Start a node, which knows nothing."""
         domain = host.failure_domain
+
+        def is_reachable():
+            self.first_call_times_by_id.setdefault(
+                host.host_id, trio.current_time()
+            )
+            return (
+                domain not in self.domains_without_platform
+                and host.host_id not in self.ids_without_platform
+            )
+
         node = MemoryNode(
             host=host,
             peers=self.network.peers(host.address),
-            platform=self.platform.as_platform(
-                lambda: domain not in self.domains_without_platform
-            ),
+            platform=self.platform.as_platform(is_reachable),
             seed=self._seed,
             seeds=seeds,
-            fleet_size=len(self.hosts),
+            fleet_size=self.fleet_size,
         )
         scope = trio.CancelScope()
         self.nodes_by_id[host.host_id] = node
