End calls in progress with their node in the in-memory fleet

Cause: a call held by a killed node ended only at its wait's end. Change: the in-memory peers cancel calls to a node that ends, as TCP does. Conclusion: the fleet tests see the detection times of real connections.

--- a/tests/memory.py
+++ b/tests/memory.py
@@ -31,6 +31,8 @@
         self.delay = delay
         self.call_count = 0
         self._handlers_by_address = {}
+        # Calls in progress at each address.
+        self._scopes_by_address = {}
         self._cut = set()
 
     def cut(self, addresses, other_addresses):
@@ -64,6 +66,9 @@
             finally:
                 if self._handlers_by_address.get(address) is handlers:
                     del self._handlers_by_address[address]
+                # Connections end with their process.
+                for scope in tuple(self._scopes_by_address.get(address, ())):
+                    scope.cancel()
 
         return network.Peers(
             sync=bind("sync", peer_pb2.SyncReply),
@@ -81,8 +86,14 @@
             if handlers is None:
                 raise errors.PeerUnavailableError(f"{target}: refused")
             request = type(message).FromString(message.SerializeToString())
-            reply = await getattr(handlers, name)(request)
-            if self._handlers_by_address.get(target) is not handlers:
+            scopes = self._scopes_by_address.setdefault(target, set())
+            with trio.CancelScope() as scope:
+                scopes.add(scope)
+                try:
+                    reply = await getattr(handlers, name)(request)
+                finally:
+                    scopes.discard(scope)
+            if scope.cancelled_caught:
                 raise errors.PeerUnavailableError(f"{target}: closed")
             await self._travel(target, source)
             if reply_type is None:
