Share the builder of versions between distribution tests

Cause: five test modules had their own copy of one builder. Change: tests/memory.py has make_version; a poll compares with the head that it stated. Conclusion: less test code for the same checks.

--- a/shallotbridge/core/sync.py
+++ b/shallotbridge/core/sync.py
@@ -437,10 +437,11 @@
         # Errors are raised outside the nursery, which would group them.
         caught = None
         is_answered = False
+        stated_head = self._store.head
         async with trio.open_nursery() as nursery:
 
             async def end_when_outdated():
-                await self._store.wait_newer(self._store.head)
+                await self._store.wait_newer(stated_head)
                 await trio.sleep(
                     self._random.uniform(0.5, 1.0) * OUTDATED_SECONDS
                 )
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -4,7 +4,6 @@
 
 import trio
 
-from tests import builders
 from tests import memory
 
 DOMAINS = {"cairo-1": 30, "cairo-2": 30}
@@ -15,7 +14,7 @@
 async def start_fleet(nursery):
     """Return a fleet that enforces version 1 and has its tree built."""
     fleet = memory.MemoryFleet(domains=DOMAINS, nursery=nursery)
-    fleet.publish(make_version(1))
+    fleet.publish(memory.make_version(1))
     for host in fleet.hosts:
         fleet.start(host)
     await fleet.wait_version(1, 30.0)
@@ -23,13 +22,6 @@
     return fleet
 
 
-def make_version(version):
-    """Return a configuration that differs by its deadline."""
-    route = builders.make_route(deadline_seconds=float(version))
-    service = builders.make_service(routes=[route])
-    return builders.make_configuration(version=version, services=[service])
-
-
 def check_upward(fleet):
     """No node ever enforced a lower version after a higher one."""
     for node in fleet.nodes_by_id.values():
@@ -42,7 +34,7 @@
     fleet = await start_fleet(nursery)
     assert len(fleet.readers("cairo-1")) == 3
     calls = fleet.platform.call_count
-    fleet.publish(make_version(2))
+    fleet.publish(memory.make_version(2))
     await fleet.wait_version(2, CONVERGENCE_SECONDS)
     # Six readers: a watch, the head and one bundle each, then a watch.
     assert fleet.platform.call_count - calls <= 6 * 4
@@ -55,7 +47,7 @@
     for node in fleet.readers("cairo-1"):
         fleet.kill(node.host.host_id)
     await trio.sleep(2.0)
-    fleet.publish(make_version(2))
+    fleet.publish(memory.make_version(2))
     await fleet.wait_version(2, CONVERGENCE_SECONDS)
     assert len(fleet.readers("cairo-1")) >= 3
 
@@ -66,7 +58,7 @@
     """Guards against a domain that depends on its own platform link."""
     fleet = await start_fleet(nursery)
     fleet.domains_without_platform.add("cairo-1")
-    fleet.publish(make_version(2))
+    fleet.publish(memory.make_version(2))
     await fleet.wait_version(2, CONVERGENCE_SECONDS)
 
 
@@ -81,7 +73,7 @@
         [cut.host.address],
         [host.address for host in fleet.hosts_by_domain["cairo-2"]],
     )
-    fleet.publish(make_version(2))
+    fleet.publish(memory.make_version(2))
     await fleet.wait_version(2, CONVERGENCE_SECONDS)
 
 
@@ -94,7 +86,7 @@
     )
     fleet.domains_without_platform.add("cairo-1")
     fleet.network.cut(first, second)
-    fleet.publish(make_version(2))
+    fleet.publish(memory.make_version(2))
     await trio.sleep(60.0)
     assert fleet.versions() == {1, 2}
     fleet.network.heal()
@@ -108,7 +100,7 @@
     """Guards against a restart that moves back to a stale platform (P1)."""
     fleet = await start_fleet(nursery)
     old_revision = fleet.platform.revision
-    fleet.publish(make_version(2))
+    fleet.publish(memory.make_version(2))
     await fleet.wait_version(2, CONVERGENCE_SECONDS)
     fleet.platform.rewind(old_revision)
     restarted = []
@@ -126,7 +118,7 @@
     """Guards against a reconnection storm above the platform's limit."""
     fleet = memory.MemoryFleet(domains=DOMAINS, nursery=nursery)
     fleet.platform.set_mode("down")
-    fleet.publish(make_version(1))
+    fleet.publish(memory.make_version(1))
     for host in fleet.hosts:
         fleet.start(host)
     await trio.sleep(60.0)
--- a/tests/core/test_platform.py
+++ b/tests/core/test_platform.py
@@ -18,16 +18,12 @@
 from tests import builders
 from tests import memory
 
+EXTRA = [f"service-{number}" for number in range(40)]
+
 
 def make_version(version, deadline=1.0):
-    """Return a configuration of 40 services, one of which varies."""
-    services = [
-        builders.make_service(name=f"service-{number}", routes=[])
-        for number in range(40)
-    ]
-    route = builders.make_route(deadline_seconds=deadline)
-    services.append(builders.make_service(routes=[route]))
-    return builders.make_configuration(version=version, services=services)
+    """Return a configuration of 41 services, one of which varies."""
+    return memory.make_version(version, deadline, EXTRA)
 
 
 @dataclasses.dataclass
--- a/tests/core/test_startup.py
+++ b/tests/core/test_startup.py
@@ -3,21 +3,13 @@
 import pytest
 import trio
 
-from tests import builders
 from tests import memory
 
 
-def make_version(version):
-    """Return a configuration that differs by its deadline."""
-    route = builders.make_route(deadline_seconds=float(version))
-    service = builders.make_service(routes=[route])
-    return builders.make_configuration(version=version, services=[service])
-
-
 async def make_fleet(nursery, count=5):
     """Return a fleet of one domain, all but its last host running."""
     fleet = memory.MemoryFleet(domains={"cairo-1": count}, nursery=nursery)
-    fleet.publish(make_version(1))
+    fleet.publish(memory.make_version(1))
     for host in fleet.hosts[:-1]:
         fleet.start(host)
     await fleet.wait_version(1, 10.0)
@@ -41,7 +33,7 @@
     """Guards against enforcing a stale platform's version first (P1)."""
     fleet = await make_fleet(nursery)
     old_revision = fleet.platform.revision
-    fleet.publish(make_version(2))
+    fleet.publish(memory.make_version(2))
     await fleet.wait_version(2, 4.0)
     fleet.platform.rewind(old_revision)
     node = fleet.start(fleet.hosts[-1])
@@ -70,13 +62,13 @@
         domains={"cairo-1": 4, "cairo-2": 4}, nursery=nursery
     )
     old_revision = fleet.platform.revision
-    fleet.publish(make_version(1))
+    fleet.publish(memory.make_version(1))
     old_revision = fleet.platform.revision
     for host in fleet.hosts:
         fleet.start(host)
     await fleet.wait_version(1, 10.0)
     await trio.sleep(40)
-    fleet.publish(make_version(2))
+    fleet.publish(memory.make_version(2))
     await fleet.wait_version(2, 4.0)
     fleet.platform.rewind(old_revision)
     restarted = []
--- a/tests/core/test_store.py
+++ b/tests/core/test_store.py
@@ -11,15 +11,7 @@
 from shallotbridge.core import model
 from shallotbridge.core import store as store_module
 from tests import builders
-
-
-def make_version(version, deadline=1.0, extra=()):
-    """Return a configuration whose content differs by its deadline."""
-    route = builders.make_route(deadline_seconds=deadline)
-    services = [builders.make_service(routes=[route])]
-    for name in extra:
-        services.append(builders.make_service(name=name, routes=[]))
-    return builders.make_configuration(version=version, services=services)
+from tests import memory
 
 
 def make_store(*configurations):
@@ -39,15 +31,15 @@
 
 def test_an_older_version_is_ignored():
     """Guards against a node that moves back (P1)."""
-    store = make_store(make_version(2))
-    assert not store.apply(builders.make_full_update(make_version(1)))
-    assert store.configuration == make_version(2)
+    store = make_store(memory.make_version(2))
+    assert not store.apply(builders.make_full_update(memory.make_version(1)))
+    assert store.configuration == memory.make_version(2)
 
 
 def test_nothing_is_in_force_before_enforcement():
     """Guards against a start that enforces what it read first."""
     store = store_module.ConfigurationStore()
-    store.apply(builders.make_full_update(make_version(3)))
+    store.apply(builders.make_full_update(memory.make_version(3)))
     assert (store.head.version, store.configuration) == (3, None)
     store.enable_enforcement()
     assert store.configuration.head.version == 3
@@ -56,14 +48,14 @@
 @pytest.mark.parametrize("order", [(1.0, 2.0), (2.0, 1.0)])
 def test_the_larger_digest_wins_a_conflict_until_a_higher_version(order):
     """Guards against a fleet split over two contents of one version."""
-    candidates = [make_version(5, deadline) for deadline in order]
+    candidates = [memory.make_version(5, deadline) for deadline in order]
     store = make_store(*candidates, candidates[0])
     assert store.head == max(item.head for item in candidates)
     assert store.conflict_count == 1
     assert set(store.conflict.digests) == {
         item.head.digest for item in candidates
     }
-    store.apply(builders.make_full_update(make_version(6)))
+    store.apply(builders.make_full_update(memory.make_version(6)))
     assert store.conflict is None
 
 
@@ -104,9 +96,9 @@
 )
 def test_a_damaged_candidate_changes_nothing(damage, error):
     """Guards against a version that is applied in part (P3)."""
-    store = make_store(make_version(1))
+    store = make_store(memory.make_version(1))
     before = copy_bytes(store)
-    update = builders.make_full_update(make_version(2, 2.0))
+    update = builders.make_full_update(memory.make_version(2, 2.0))
     damage(update)
     with pytest.raises(error):
         store.apply(update)
@@ -117,7 +109,7 @@
 def test_a_full_copy_that_expands_without_bound_is_rejected(monkeypatch):
     """Guards against memory exhaustion by a small compressed reply."""
     monkeypatch.setattr(store_module, "MAXIMUM_COPY_BYTES", 1000)
-    update = builders.make_full_update(make_version(1))
+    update = builders.make_full_update(memory.make_version(1))
     update.compressed_bundle = zlib.compress(b"\0" * 100_000)
     with pytest.raises(errors.MalformedPartError, match="exceeds"):
         make_store().apply(update)
@@ -125,10 +117,10 @@
 
 def test_unchanged_parts_are_not_decoded_again():
     """Guards against a cost of each change that grows with the mesh."""
-    store = make_store(make_version(1, extra=["other"]))
+    store = make_store(memory.make_version(1, extra=["other"]))
     kept = store.configuration.services_by_name["other"]
     store.apply(
-        builders.make_full_update(make_version(2, 2.0, extra=["other"]))
+        builders.make_full_update(memory.make_version(2, 2.0, extra=["other"]))
     )
     assert store.configuration.services_by_name["other"] is kept
 
@@ -136,9 +128,9 @@
 def test_a_delta_holds_only_changes_and_old_heads_get_a_full_copy():
     """Guards against full copies for small changes, and lost bases."""
     extra = [f"service-{number}" for number in range(8)]
-    versions = [make_version(1, extra=extra + ["gone"])]
+    versions = [memory.make_version(1, extra=extra + ["gone"])]
     versions += [
-        make_version(number, number, extra) for number in range(2, 18)
+        memory.make_version(number, number, extra) for number in range(2, 18)
     ]
     store = make_store(*versions)
     assert store.update_since(versions[0].head).compressed_bundle
@@ -152,21 +144,21 @@
 
 async def test_waiters_wake_for_a_newer_head(nursery, autojump_clock):
     """Guards against a long poll that misses a change."""
-    store = make_store(make_version(1))
+    store = make_store(memory.make_version(1))
 
     async def apply_later():
-        store.apply(builders.make_full_update(make_version(2)))
+        store.apply(builders.make_full_update(memory.make_version(2)))
 
     nursery.start_soon(apply_later)
     assert (await store.wait_newer(store.head)).version == 2
 
 
 VERSIONS = [
-    make_version(1, 1.0, ["gone"]),
-    make_version(2, 2.0),
-    make_version(3, 3.0, ["new"]),
-    make_version(3, 4.0, ["new"]),
-    make_version(4, 4.0, ["new", "newer"]),
+    memory.make_version(1, 1.0, ["gone"]),
+    memory.make_version(2, 2.0),
+    memory.make_version(3, 3.0, ["new"]),
+    memory.make_version(3, 4.0, ["new"]),
+    memory.make_version(4, 4.0, ["new", "newer"]),
 ]
 
 
@@ -227,7 +219,7 @@
 
 def test_parts_are_served_as_received():
     """Guards against a child that computes another root digest."""
-    store = make_store(make_version(1))
+    store = make_store(memory.make_version(1))
     bundle = configuration_pb2.Bundle.FromString(
         zlib.decompress(store.update_since(model.NO_HEAD).compressed_bundle)
     )
--- a/tests/core/test_sync.py
+++ b/tests/core/test_sync.py
@@ -22,11 +22,7 @@
 
 def make_version(version):
     """Return an update with a full copy of a version."""
-    route = builders.make_route(deadline_seconds=float(version))
-    service = builders.make_service(routes=[route])
-    return builders.make_full_update(
-        builders.make_configuration(version=version, services=[service])
-    )
+    return builders.make_full_update(memory.make_version(version))
 
 
 def make_request(store, wait=5.0, sender="child"):
--- a/tests/memory.py
+++ b/tests/memory.py
@@ -18,6 +18,7 @@
 from shallotbridge.core import topology as topology_module
 from shallotbridge.transports import network
 from standins import platform as platform_standin
+from tests import builders
 
 
 class MemoryPeerNetwork:
@@ -107,6 +108,15 @@
             await trio.sleep_forever()
 
 
+def make_version(version, deadline=None, extra=()):
+    """Return a configuration whose content differs by its deadline."""
+    route = builders.make_route(deadline_seconds=float(deadline or version))
+    services = [builders.make_service(routes=[route])]
+    for name in extra:
+        services.append(builders.make_service(name=name, routes=[]))
+    return builders.make_configuration(version=version, services=services)
+
+
 def platform_values(configuration, *, base_version=0, base_digest=b""):
     """Return the values that a publication puts on the platform."""
     head = configuration_pb2.Head(
