--- a/shallotbridge/transports/grpc_peer.py
+++ b/shallotbridge/transports/grpc_peer.py
@@ -55,13 +55,16 @@
     port : int
         Port on which all nodes serve peers.
 
+    idle_seconds : float
+        Time without a call after which a channel is closed.
+
     Notes
     -----
     Used from one trio run. ``close`` is called when no call is in flight.
     """
 
     def __init__(self, *, port, idle_seconds=CHANNEL_IDLE_SECONDS):
-        self._port = port
+        self.port = port
         self._idle_seconds = idle_seconds
         self._channels_by_address = {}
 
@@ -128,7 +131,7 @@
     def _channel(self, address):
         channel = self._channels_by_address.get(address)
         if channel is None:
-            channel = _Channel(address=address, port=self._port)
+            channel = _Channel(address=address, port=self.port)
             self._channels_by_address[address] = channel
         return channel
 
