--- a/tests/memory.py
+++ b/tests/memory.py
@@ -1,5 +1,6 @@
 """An in-memory fleet: peers, platform and distribution, on trio's clock."""
 
+import functools
 import random
 
 import trio
@@ -17,6 +18,7 @@
 from shallotbridge.core import topology as topology_module
 from shallotbridge.transports import network
 from standins import platform as platform_standin
+from tests import builders
 
 
 class MemoryPeerNetwork:
@@ -30,6 +32,8 @@
         self.delay = delay
         self.call_count = 0
         self._handlers_by_address = {}
+        # Calls in progress at each address.
+        self._scopes_by_address = {}
         self._cut = set()
 
     def cut(self, addresses, other_addresses):
@@ -63,6 +67,9 @@
             finally:
                 if self._handlers_by_address.get(address) is handlers:
                     del self._handlers_by_address[address]
+                # Connections end with their process.
+                for scope in tuple(self._scopes_by_address.get(address, ())):
+                    scope.cancel()
 
         return network.Peers(
             sync=bind("sync", peer_pb2.SyncReply),
@@ -80,8 +87,14 @@
             if handlers is None:
                 raise errors.PeerUnavailableError(f"{target}: refused")
             request = type(message).FromString(message.SerializeToString())
-            reply = await getattr(handlers, name)(request)
-            if self._handlers_by_address.get(target) is not handlers:
+            scopes = self._scopes_by_address.setdefault(target, set())
+            with trio.CancelScope() as scope:
+                scopes.add(scope)
+                try:
+                    reply = await getattr(handlers, name)(request)
+                finally:
+                    scopes.discard(scope)
+            if scope.cancelled_caught:
                 raise errors.PeerUnavailableError(f"{target}: closed")
             await self._travel(target, source)
             if reply_type is None:
@@ -95,6 +108,15 @@
             await trio.sleep_forever()
 
 
+def make_version(version, deadline=None, extra=()):
+    """Return a configuration whose content differs by its deadline."""
+    route = builders.make_route(deadline_seconds=float(deadline or version))
+    services = [builders.make_service(routes=[route])]
+    for name in extra:
+        services.append(builders.make_service(name=name, routes=[]))
+    return builders.make_configuration(version=version, services=services)
+
+
 def platform_values(configuration, *, base_version=0, base_digest=b""):
     """Return the values that a publication puts on the platform."""
     head = configuration_pb2.Head(
@@ -164,15 +186,18 @@
                 self._peers.serve, self.host.address, 0, handlers
             )
             nursery.start_soon(self._observe)
-            await startup.find_configuration(
-                own_host=self.host,
-                store=self.store,
-                hosts=self.hosts,
-                client=self.client,
-                reader=self.reader,
-                seed_hosts=self.topology.seeds,
-                fleet_size=self._fleet_size,
-                random=self._random,
+            await nursery.start(
+                functools.partial(
+                    startup.find_configuration,
+                    own_host=self.host,
+                    store=self.store,
+                    hosts=self.hosts,
+                    client=self.client,
+                    reader=self.reader,
+                    seed_hosts=self.topology.seeds,
+                    fleet_size=self._fleet_size,
+                    random=self._random,
+                )
             )
             nursery.start_soon(self.client.run)
             nursery.start_soon(self.reader.run)
@@ -206,6 +231,9 @@
         self.nodes_by_id = {}
         self.hosts_by_domain = {}
         self.domains_without_platform = set()
+        self.ids_without_platform = set()
+        self.fleet_size = sum(domains.values())
+        self.first_call_times_by_id = {}
         self._nursery = nursery
         self._seed = seed
         self._scopes_by_id = {}
@@ -235,15 +263,23 @@
     def start(self, host, seeds=()):
         """Start a node, which knows nothing."""
         domain = host.failure_domain
+
+        def is_reachable():
+            self.first_call_times_by_id.setdefault(
+                host.host_id, trio.current_time()
+            )
+            return (
+                domain not in self.domains_without_platform
+                and host.host_id not in self.ids_without_platform
+            )
+
         node = MemoryNode(
             host=host,
             peers=self.network.peers(host.address),
-            platform=self.platform.as_platform(
-                lambda: domain not in self.domains_without_platform
-            ),
+            platform=self.platform.as_platform(is_reachable),
             seed=self._seed,
             seeds=seeds,
-            fleet_size=len(self.hosts),
+            fleet_size=self.fleet_size,
         )
         scope = trio.CancelScope()
         self.nodes_by_id[host.host_id] = node
