--- a/bench/policy.py
+++ b/bench/policy.py
@@ -448,11 +448,21 @@
     """Run both policies on both deployments."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
-    seed = parser.parse_args().seed
+    parser.add_argument(
+        "--utilization",
+        type=float,
+        help="offered load as a share of all slots; per deployment if absent",
+    )
+    arguments = parser.parse_args()
+    seed = arguments.seed
     # Tasks that are ready together run in a fixed order, so that a seed
     # gives the same figures each time.
     trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
     for deployment in DEPLOYMENTS:
+        if arguments.utilization is not None:
+            deployment = dataclasses.replace(
+                deployment, utilization=arguments.utilization
+            )
         for name, is_baseline in (("policy", False), ("round robin", True)):
             trio._core._run._r.seed(seed)
             simulation = Simulation(
--- a/shallotbridge/core/directory.py
+++ b/shallotbridge/core/directory.py
@@ -133,7 +133,9 @@
             )
         slots = service.upstream.slots
         near, held_back, full, avoided = {}, [], [], []
-        draw = self._random.random()
+        # A call that was refused once has few attempts left, so it goes to a
+        # returning domain only if all others are full.
+        draw = 1.0 if excluded else self._random.random()
         for host in present:
             if host.host_id in excluded:
                 ruled_out["tried for this call"] += 1
--- a/tests/core/test_gate.py
+++ b/tests/core/test_gate.py
@@ -221,3 +221,28 @@
         "admitted",
         errors.LeavingError.code,
     ]
+
+
+async def test_a_wait_past_the_deadline_is_refused_at_once(
+    autojump_clock, nursery
+):
+    """Guards against a lasting collapse: requests that are sent just before
+    their deadline time out, and their timeouts keep the limit low.
+    """
+    tested, state = gates.make_gate(nursery)
+    await _warm(tested, state)
+
+    async def time_out(call):
+        await trio.sleep_until(call.deadline)
+        raise errors.DeadlineAfterSendError("late")
+
+    short = gates.make_call(deadline=trio.current_time() + 0.06)
+    with pytest.raises(errors.DeadlineAfterSendError):
+        await tested.run(short, time_out)
+    assert tested.allowed == 6
+    for number in range(5):
+        nursery.start_soon(tested.run, gates.make_call(number), _answer)
+    await trio.testing.wait_all_tasks_blocked()
+    short = gates.make_call(deadline=trio.current_time() + 0.05)
+    with pytest.raises(errors.OverloadedError, match="too long"):
+        await tested.run(short, _answer)
