Answer a restarted owner's key question only with certainty

Cause: an owner that crashed and restarted asked the next owner, which had never seen the key and denied it; the repetition ran a second time. Change: the answer is certain only if the asking host joined when its node started.

--- a/shallotbridge/core/keys.py
+++ b/shallotbridge/core/keys.py
@@ -4,6 +4,8 @@
 import dataclasses
 import enum
 import hashlib
+import math
+import types
 
 import trio
 
@@ -13,6 +15,8 @@
 MAXIMUM_KEYS = 20_000
 MAXIMUM_RESPONSE_BYTES = 16 * 1024 * 1024
 LOOKUP_TIMEOUT_SECONDS = 0.2
+# Marks that the hosts were not looked at yet.
+_NOT_OBSERVED = types.MappingProxyType({})
 # Bytes of a header field and of an entry apart from their text.
 _OVERHEAD_BYTES = 100
 _DIGEST_BYTES = 16
@@ -147,7 +151,7 @@
         # Keys that began after this time are all remembered.
         self._complete_since = trio.current_time()
         self._moved_until_by_key = collections.OrderedDict()
-        self._known_hosts_by_id = {}
+        self._joined_by_id = _NOT_OBSERVED
         self._departures_by_id = {}
 
     def __len__(self):
@@ -267,25 +271,35 @@
                 state = KeyState.UNCERTAIN
         return state
 
-    def covers(self, key, asker=None):
+    def covers(self, key, asker=None, asker_uptime=None):
         """Tell whether an absent key was certainly not started.
 
         That holds if this memory is complete for the window and every
         request with the key would have come here: no other host that was
-        present within the window precedes this one in the key's order. The
-        asking host is left out, because it answers for itself.
+        present within the window precedes this one in the key's order.
+
+        An asking host is left out if it joined for the first time when its
+        node started. Otherwise an earlier process of that host may have run
+        the key and lost its memory in a crash.
         """
         self.observe_hosts()
         if key in self._moved_until_by_key:
             return False
-        if self._complete_since > trio.current_time() - self._window:
+        now = trio.current_time()
+        if self._complete_since > now - self._window:
             return False
         own_rank = (
             _rank(key, self._own_host.host_id),
             self._own_host.host_id,
         )
-        for host_id in (*self._known_hosts_by_id, *self._departures_by_id):
-            if host_id in (asker, self._own_host.host_id):
+        has_joined_new = (
+            asker_uptime is not None
+            and self._joined_by_id.get(asker, -math.inf) >= now - asker_uptime
+        )
+        for host_id in (*self._joined_by_id, *self._departures_by_id):
+            if host_id == self._own_host.host_id:
+                continue
+            if host_id == asker and has_joined_new:
                 continue
             if (_rank(key, host_id), host_id) < own_rank:
                 return False
@@ -295,18 +309,26 @@
         """Note which hosts joined and left; called every second."""
         now = trio.current_time()
         hosts = self._hosts_of_service(self._own_host.service)
-        present = {host.host_id: host for host in hosts}
-        for host_id in self._known_hosts_by_id:
+        present = {host.host_id for host in hosts}
+        joined = -math.inf if self._joined_by_id is _NOT_OBSERVED else now
+        for host_id in self._joined_by_id:
             if host_id not in present:
                 self._departures_by_id[host_id] = now
-        self._known_hosts_by_id = present
+        # A host that comes back within the window is not new.
+        self._joined_by_id = {
+            host_id: self._joined_by_id.get(
+                host_id,
+                -math.inf if host_id in self._departures_by_id else joined,
+            )
+            for host_id in present
+        }
         self._departures_by_id = {
             host_id: departed
             for host_id, departed in self._departures_by_id.items()
             if host_id not in present and departed > now - self._window
         }
 
-    def look_up(self, key, asker):
+    def look_up(self, key, asker, asker_uptime=None):
         """Answer another owner's question about a key.
 
         Parameters
@@ -315,6 +337,9 @@
             What ``scoped_key`` returned there.
         asker : str
             Host id of the asking owner.
+        asker_uptime : float, optional
+            Seconds since that node started; without it, "not seen" is never
+            certain for a key that the asking host owns.
 
         Returns
         -------
@@ -322,7 +347,7 @@
         """
         if self.check(key) is not None:
             return KeyState.SEEN
-        if self.covers(key, asker):
+        if self.covers(key, asker, asker_uptime):
             return KeyState.NOT_SEEN
         return KeyState.UNCERTAIN
 
--- a/tests/core/test_keys.py
+++ b/tests/core/test_keys.py
@@ -180,3 +180,34 @@
     )
     with pytest.raises(errors.KeySeenError, match="5.0 s ago"):
         await new.reserve(call)
+
+
+async def test_a_crashed_and_restarted_owner_gets_no_certain_answer(
+    autojump_clock,
+):
+    """Guards against a second run after the owner lost its memory: the next
+    owner has never seen the key, but the owner's earlier process may have.
+    """
+    hosts = [_OWN]
+    window = _make_window(hosts)
+    window.observe_hosts()
+    await trio.sleep(keys.WINDOW_SECONDS + 1)
+    hosts.append(_OTHER)
+    window.observe_hosts()
+    await trio.sleep(60)
+    foreign = next(
+        key
+        for key in (b"%d" % number for number in range(100))
+        if keys.key_order(key, hosts)[0] is _OTHER
+    )
+    state = keys.KeyState
+    for uptime, expected in (
+        (61.0, state.NOT_SEEN),
+        (59.0, state.UNCERTAIN),
+        (None, state.UNCERTAIN),
+    ):
+        assert window.look_up(foreign, "other", uptime) is expected
+    hosts.remove(_OTHER)
+    window.observe_hosts()
+    hosts.append(_OTHER)
+    assert window.look_up(foreign, "other", 999.0) is state.UNCERTAIN
