Blame cancelled work for a crash; give stored responses the request's id

Cause: a request whose caller left before the crash was never blamed, and a stored response carried the id of the first request. Change: work in its grace period counts as in flight when the upstream is found restarted; x-request-id is replaced in stored responses.

--- a/shallotbridge/core/gate.py
+++ b/shallotbridge/core/gate.py
@@ -1,6 +1,7 @@
 """Admission of requests to the own upstream."""
 
 import collections
+import dataclasses
 import itertools
 
 import trio
@@ -9,6 +10,7 @@
 from . import errors
 from . import keys as key_window
 from . import limit as concurrency
+from . import model
 from . import suspects as suspect_table
 
 # Cancelled work may run on after its connection was closed.
@@ -111,6 +113,8 @@
         self._nursery = None
         self._limit = None
         self._entries = set()
+        # Those of cancelled work, which may still run.
+        self._abandoned = set()
         self._queue = collections.deque()
         self._running = 0
         self._is_node_leaving = False
@@ -213,7 +217,7 @@
                     stored = await self._keys.reserve(call)
                     if stored is not None:
                         self._note(call, "stored response", arrived)
-                        return stored
+                        return _with_request_id(stored, call.request_id)
                     key = key_window.scoped_key(call)
                 entry = await self._take_slot(call, fingerprint)
             except errors.CallError as error:
@@ -424,10 +428,12 @@
         self._check_idle()
 
     def _release_later(self, entry):
+        self._abandoned.add(entry)
         self._nursery.start_soon(self._release_after_grace, entry)
 
     async def _release_after_grace(self, entry):
         await trio.sleep(CANCELLATION_GRACE_SECONDS)
+        self._abandoned.discard(entry)
         self._release(entry)
 
     async def _send(self, call, send, entry, key):
@@ -552,6 +558,11 @@
             if reset_at >= oldest
         }
         self._unattributed.clear()
+        # Nobody sees a reset of a connection that was closed before.
+        for each in self._abandoned:
+            if not each.is_blamed:
+                each.is_blamed = True
+                fingerprints.add(each.fingerprint)
         if not fingerprints:
             return
         finding = self._suspects.on_crash(fingerprints)
@@ -723,3 +734,16 @@
             f"the upstream refused the request: {reason}", reason=reason
         )
     return response
+
+
+def _with_request_id(response, request_id):
+    """Return a stored response as the answer to another request."""
+    headers = tuple(
+        (
+            model.Header(name=header.name, value=request_id)
+            if header.name == "x-request-id"
+            else header
+        )
+        for header in response.headers
+    )
+    return dataclasses.replace(response, headers=headers)
--- a/tests/core/test_keys.py
+++ b/tests/core/test_keys.py
@@ -50,7 +50,10 @@
 
         async def run(number, outcome):
             call = gates.make_call(
-                number, key=f"k{number}", deadline=trio.current_time() + 0.5
+                number,
+                key=f"k{number}",
+                deadline=trio.current_time() + 0.5,
+                request_id=f"{number} {trio.current_time()}",
             )
 
             async def send(sent):
@@ -63,12 +66,15 @@
                 if outcome == "cancel":
                     scope.cancel()
                     await trio.sleep(1)
-                return gates.make_response(body=b"%d" % number)
+                return gates.make_response(
+                    body=b"%d" % number, x_request_id=sent.request_id
+                )
 
             with trio.CancelScope() as scope:
                 try:
                     response = await tested.run(call, send)
                     assert response.body == b"%d" % number
+                    assert response.header("x-request-id") == call.request_id
                 except errors.CallError as error:
                     if error.outcome is errors.Outcome.NOT_RUN:
                         assert error.is_retry_safe
--- a/tests/core/test_suspects.py
+++ b/tests/core/test_suspects.py
@@ -129,6 +129,22 @@
     assert len(table) == 0
 
 
+async def test_a_crash_after_the_cancellation_is_attributed(
+    autojump_clock, nursery
+):
+    """Guards against a crashing request whose caller leaves too early for
+    anybody to see the reset.
+    """
+    table = suspects.SuspectTable()
+    tested, _ = gates.make_gate(nursery, suspects=table)
+    tested.on_instance("i0")
+    with trio.move_on_after(0.1):
+        await tested.run(gates.make_call(_POISON), lambda _: trio.sleep(9))
+    tested.on_instance("i1")
+    await trio.testing.wait_all_tasks_blocked()
+    assert table.is_suspect(suspects.fingerprint(gates.make_call(_POISON)))
+
+
 async def test_the_table_is_bounded_and_forgets(autojump_clock):
     """Guards against memory that grows with crashes, and against a request
     that is refused for ever.
