Test suspects that wait, repetitions and stored responses

Change: tests of one suspect at a time, of clearing, of repetitions that wait, and of answers from the memory.

--- a/tests/core/test_keys.py
+++ b/tests/core/test_keys.py
@@ -91,6 +91,33 @@
     trio.run(check, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+@pytest.mark.parametrize("is_first_run", [True, False])
+async def test_a_second_request_waits_for_the_first(
+    autojump_clock, nursery, is_first_run
+):
+    """Guards against a repetition that is refused although the result is
+    about to come, or although the first one did not run.
+    """
+    window = _make_window()
+    call = gates.make_call(key="k")
+    key = keys.scoped_key(call)
+    assert await window.reserve(call) is None
+    results = []
+
+    async def repeat():
+        results.append(await window.reserve(call))
+
+    nursery.start_soon(repeat)
+    await trio.sleep(0.1)
+    assert not results
+    if is_first_run:
+        window.finish(key, gates.make_response())
+    else:
+        window.forget(key)
+    await trio.testing.wait_all_tasks_blocked()
+    assert results == [gates.make_response() if is_first_run else None]
+
+
 async def test_a_key_of_another_request_is_refused(autojump_clock):
     """Guards against the response to another caller's request."""
     window = _make_window()
@@ -217,3 +244,20 @@
     window.observe_hosts()
     hosts.append(_OTHER)
     assert window.look_up(foreign, "other", 999.0) is state.UNCERTAIN
+
+
+async def test_the_gate_answers_a_repetition_from_its_memory(
+    autojump_clock, nursery
+):
+    """Guards against a repetition that waits for its deadline although the
+    first sending has ended.
+    """
+    tested, _ = gates.make_gate(nursery)
+
+    async def send(call):
+        return gates.make_response(body=b"reserved")
+
+    for _ in range(2):
+        response = await tested.run(gates.make_call(key="k"), send)
+        assert response.body == b"reserved"
+    assert trio.current_time() == 0.0
--- a/tests/core/test_suspects.py
+++ b/tests/core/test_suspects.py
@@ -129,6 +129,37 @@
     assert len(table) == 0
 
 
+async def test_suspects_run_one_at_a_time_and_others_pass(
+    autojump_clock, nursery
+):
+    """Guards against two suspects whose crash blames neither, and against
+    a suspect that holds up innocent requests or stays one after success.
+    """
+    table = suspects.SuspectTable()
+    tested, _ = gates.make_gate(
+        nursery, suspects=table, limits={"cold_slots": 6}
+    )
+    calls = [gates.make_call(number) for number in range(3)]
+    table.on_report([suspects.fingerprint(each) for each in calls[:2]], False)
+    running = []
+    order = []
+
+    async def send(call):
+        running.append(call)
+        assert not (calls[0] in running and calls[1] in running)
+        await trio.sleep(0.05)
+        running.remove(call)
+        order.append(call.request_id)
+        return gates.make_response()
+
+    for call in calls:
+        nursery.start_soon(tested.run, call, send)
+        await trio.testing.wait_all_tasks_blocked()
+    await tested.wait_idle()
+    assert order == ["r0", "r2", "r1"]
+    assert len(table) == 0
+
+
 async def test_a_crash_after_the_cancellation_is_attributed(
     autojump_clock, nursery
 ):
