Let the upstream's stand-in refuse while cold

Cause: no stand-in sent x-refused: cold; a test depended on the order of two tasks that end at the same time and failed once. Change: option refuses_when_cold; the test's requests end at different times, the expected order stays exact.

--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -19,7 +19,6 @@
 MAXIMUM_BODY_BYTES = 8 * 1024 * 1024
 RECEIVE_BYTES = 65536
 CRASH_MARK = b"x-crash"
-REFUSALS = ("overloaded", "cold", "leaving", "deadline")
 _REASONS_BY_STATUS = {
     200: b"OK",
     400: b"Bad Request",
@@ -51,6 +50,8 @@
         and body of another request.
     finish_cancelled_ratio : float
         Share of cancelled requests that run to their end.
+    refuses_when_cold : bool
+        Refuse what a cold upstream does not bear, instead of trying it.
     """
 
     slots: int = 6
@@ -65,6 +66,7 @@
     late_seconds: float = 1.0
     crossed_ratio: float = 0.0
     finish_cancelled_ratio: float = 0.2
+    refuses_when_cold: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -345,6 +347,10 @@
             return "deadline"
         if self.in_use >= self.behaviour.slots:
             return "overloaded"
+        if self.behaviour.refuses_when_cold and (
+            self.in_use >= math.floor(self.capacity())
+        ):
+            return "cold"
         return None
 
     async def _answer_call(self, request):
@@ -523,6 +529,7 @@
     late_seconds: float = 1.0,
     crossed_ratio: float = 0.0,
     finish_cancelled_ratio: float = 0.2,
+    refuses_when_cold: bool = False,
     seed: int = 1,
     warm: bool = False,
 ):
@@ -540,6 +547,7 @@
         late_seconds=late_seconds,
         crossed_ratio=crossed_ratio,
         finish_cancelled_ratio=finish_cancelled_ratio,
+        refuses_when_cold=refuses_when_cold,
     )
     trio.run(_run, address, port, behaviour, seed, warm)
 
--- a/tests/core/test_suspects.py
+++ b/tests/core/test_suspects.py
@@ -147,7 +147,7 @@
     async def send(call):
         running.append(call)
         assert not (calls[0] in running and calls[1] in running)
-        await trio.sleep(0.05)
+        await trio.sleep(0.02 if call is calls[2] else 0.05)
         running.remove(call)
         order.append(call.request_id)
         return gates.make_response()
@@ -156,7 +156,7 @@
         nursery.start_soon(tested.run, call, send)
         await trio.testing.wait_all_tasks_blocked()
     await tested.wait_idle()
-    assert order == ["r0", "r2", "r1"]
+    assert order == ["r2", "r0", "r1"]
     assert len(table) == 0
 
 
--- a/tests/standins/test_upstream.py
+++ b/tests/standins/test_upstream.py
@@ -113,3 +113,19 @@
     ran = json.loads(answer.partition(b"\r\n\r\n")[2])
     assert (ran["by_key"], ran["completed"]) == ({"k": 3}, {"r": 2})
     assert made.in_use == 0
+
+
+async def test_it_crosses_answers_and_refuses_while_cold(
+    autojump_clock, nursery
+):
+    """Guards against checks of P6 and slow start that see no fault."""
+    made = _make(crossed_ratio=1.0, refuses_when_cold=True)
+    client = _connect(nursery, made)
+    await _exchange(client, "GET /a", headers="x-request-id: r1\r\n")
+    nursery.start_soon(_exchange, _connect(nursery, made), "GET /c")
+    await trio.testing.wait_all_tasks_blocked()
+    refused = await _exchange(_connect(nursery, made), "GET /d")
+    assert b"x-refused: cold" in refused
+    await trio.sleep(made.behaviour.warm_seconds)
+    crossed = await _exchange(client, "GET /b", headers="x-request-id: r2\r\n")
+    assert b"x-request-id: r2" not in crossed
