--- a/tests/core/test_keys.py
+++ b/tests/core/test_keys.py
@@ -50,7 +50,10 @@
 
         async def run(number, outcome):
             call = gates.make_call(
-                number, key=f"k{number}", deadline=trio.current_time() + 0.5
+                number,
+                key=f"k{number}",
+                deadline=trio.current_time() + 0.5,
+                request_id=f"{number} {trio.current_time()}",
             )
 
             async def send(sent):
@@ -63,12 +66,15 @@
                 if outcome == "cancel":
                     scope.cancel()
                     await trio.sleep(1)
-                return gates.make_response(body=b"%d" % number)
+                return gates.make_response(
+                    body=b"%d" % number, x_request_id=sent.request_id
+                )
 
             with trio.CancelScope() as scope:
                 try:
                     response = await tested.run(call, send)
                     assert response.body == b"%d" % number
+                    assert response.header("x-request-id") == call.request_id
                 except errors.CallError as error:
                     if error.outcome is errors.Outcome.NOT_RUN:
                         assert error.is_retry_safe
@@ -85,6 +91,33 @@
     trio.run(check, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+@pytest.mark.parametrize("is_first_run", [True, False])
+async def test_a_second_request_waits_for_the_first(
+    autojump_clock, nursery, is_first_run
+):
+    """Guards against a repetition that is refused although the result is
+    about to come, or although the first one did not run.
+    """
+    window = _make_window()
+    call = gates.make_call(key="k")
+    key = keys.scoped_key(call)
+    assert await window.reserve(call) is None
+    results = []
+
+    async def repeat():
+        results.append(await window.reserve(call))
+
+    nursery.start_soon(repeat)
+    await trio.sleep(0.1)
+    assert not results
+    if is_first_run:
+        window.finish(key, gates.make_response())
+    else:
+        window.forget(key)
+    await trio.testing.wait_all_tasks_blocked()
+    assert results == [gates.make_response() if is_first_run else None]
+
+
 async def test_a_key_of_another_request_is_refused(autojump_clock):
     """Guards against the response to another caller's request."""
     window = _make_window()
@@ -180,3 +213,51 @@
     )
     with pytest.raises(errors.KeySeenError, match="5.0 s ago"):
         await new.reserve(call)
+
+
+async def test_a_crashed_and_restarted_owner_gets_no_certain_answer(
+    autojump_clock,
+):
+    """Guards against a second run after the owner lost its memory: the next
+    owner has never seen the key, but the owner's earlier process may have.
+    """
+    hosts = [_OWN]
+    window = _make_window(hosts)
+    window.observe_hosts()
+    await trio.sleep(keys.WINDOW_SECONDS + 1)
+    hosts.append(_OTHER)
+    window.observe_hosts()
+    await trio.sleep(60)
+    foreign = next(
+        key
+        for key in (b"%d" % number for number in range(100))
+        if keys.key_order(key, hosts)[0] is _OTHER
+    )
+    state = keys.KeyState
+    for uptime, expected in (
+        (61.0, state.NOT_SEEN),
+        (59.0, state.UNCERTAIN),
+        (None, state.UNCERTAIN),
+    ):
+        assert window.look_up(foreign, "other", uptime) is expected
+    hosts.remove(_OTHER)
+    window.observe_hosts()
+    hosts.append(_OTHER)
+    assert window.look_up(foreign, "other", 999.0) is state.UNCERTAIN
+
+
+async def test_the_gate_answers_a_repetition_from_its_memory(
+    autojump_clock, nursery
+):
+    """Guards against a repetition that waits for its deadline although the
+    first sending has ended.
+    """
+    tested, _ = gates.make_gate(nursery)
+
+    async def send(call):
+        return gates.make_response(body=b"reserved")
+
+    for _ in range(2):
+        response = await tested.run(gates.make_call(key="k"), send)
+        assert response.body == b"reserved"
+    assert trio.current_time() == 0.0
