--- a/shallotbridge/core/http1.py
+++ b/shallotbridge/core/http1.py
@@ -5,6 +5,7 @@
 disagree on the end of a message read each other's bytes as requests.
 """
 
+import math
 import re
 
 import httptools
@@ -120,17 +121,24 @@
         self._stream = stream
         self._maximum_body_bytes = maximum_body_bytes
         self._buffer = b""
+        # Time on trio's clock by which a message must have arrived.
+        self._receive_deadline = math.inf
         self.is_persistent = False
 
-    @property
-    def has_bytes(self):
-        """Whether bytes after the last message were received."""
-        return bool(self._buffer)
-
     async def _receive(self):
-        received = await self._stream.receive_some(_RECEIVE_BYTES)
-        self._buffer += received
-        return received
+        """Return received bytes, or none at the end of the stream.
+
+        A message that is in the buffer already, as most are, costs no
+        cancel scope.
+        """
+        if self._receive_deadline == math.inf:
+            return await self._stream.receive_some(_RECEIVE_BYTES)
+        with trio.CancelScope(deadline=self._receive_deadline):
+            return await self._stream.receive_some(_RECEIVE_BYTES)
+        raise errors.FramingError(
+            f"the request did not arrive within {HEAD_SECONDS} s (head) and "
+            f"{BODY_SECONDS} s (body)"
+        )
 
     async def _read_head(self):
         """Return the bytes of a head, with its final empty line.
@@ -158,8 +166,10 @@
                 self._buffer = buffer[stop:]
                 return buffer[:stop]
             checked = len(buffer)
-            if not await self._receive():
+            received = await self._receive()
+            if not received:
                 raise self._ended("in the head")
+            self._buffer += received
 
     def _feed(self, parser, data):
         try:
@@ -214,7 +224,7 @@
             pieces = [self._buffer]
             missing = length - len(self._buffer)
             while missing > 0:
-                received = await self._stream.receive_some(_RECEIVE_BYTES)
+                received = await self._receive()
                 if not received:
                     raise self._ended(f"{missing} bytes before its end")
                 pieces.append(received)
@@ -254,8 +264,11 @@
                     raise self._body_too_large(wire_size)
             if parsed.is_complete:
                 return b"".join(parsed.chunks)
-            if end < 0 and not await self._receive():
-                raise self._ended("in a chunked body")
+            if end < 0:
+                received = await self._receive()
+                if not received:
+                    raise self._ended("in a chunked body")
+                self._buffer += received
 
     def _is_persistent(self, parsed, version):
         tokens = _connection_tokens(parsed.fields)
@@ -294,20 +307,19 @@
         Returns
         -------
         bool
-            False when the client closed the connection or sent nothing
-            for ``IDLE_SECONDS``.
+            False when the client closed the connection.
         """
-        with trio.move_on_after(IDLE_SECONDS):
-            while True:
-                # An empty line before a request line is ignored, as
-                # RFC 9112, section 2.2, recommends.
-                while self._buffer.startswith(b"\r\n"):
-                    self._buffer = self._buffer[2:]
-                if self._buffer and self._buffer != b"\r":
-                    return True
-                if not await self._receive():
-                    return False
-        return False
+        while True:
+            # An empty line before a request line is ignored, as RFC 9112,
+            # section 2.2, recommends.
+            while self._buffer.startswith(b"\r\n"):
+                self._buffer = self._buffer[2:]
+            if self._buffer and self._buffer != b"\r":
+                return True
+            received = await self._receive()
+            if not received:
+                return False
+            self._buffer += received
 
     async def read(self):
         """Return the next request, whole.
@@ -321,14 +333,13 @@
         errors.FramingError
             Or one of its subtypes; the connection must be closed.
         """
-        with trio.move_on_after(HEAD_SECONDS) as scope:
-            return await self._read(scope)
-        raise errors.FramingError(
-            f"the request did not arrive within {HEAD_SECONDS} s (head) and "
-            f"{BODY_SECONDS} s (body)"
-        )
+        self._receive_deadline = trio.current_time() + HEAD_SECONDS
+        try:
+            return await self._read()
+        finally:
+            self._receive_deadline = math.inf
 
-    async def _read(self, scope):
+    async def _read(self):
         head = await self._read_head()
         parsed = _Parsed()
         parser = httptools.HttpRequestParser(parsed)
@@ -350,7 +361,7 @@
                 raise self._malformed("an upgrade with a body; allowed: one")
             if expectation and not self._buffer:
                 await self._stream.send_all(_CONTINUE)
-            scope.deadline = trio.current_time() + BODY_SECONDS
+            self._receive_deadline = trio.current_time() + BODY_SECONDS
             if length is None:
                 body = await self._read_chunked(parser, parsed)
             else:
@@ -400,9 +411,11 @@
         # Pipelined requests are kept; beyond the bound the client waits.
         try:
             while len(self._buffer) < MAXIMUM_HEAD_BYTES:
-                if not await self._receive():
+                received = await self._receive()
+                if not received:
                     cancel_scope.cancel()
                     return
+                self._buffer += received
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             cancel_scope.cancel()
 
--- a/shallotbridge/core/serving.py
+++ b/shallotbridge/core/serving.py
@@ -55,7 +55,7 @@
         if self._is_draining:
             return False
         has_request = False
-        with trio.CancelScope() as scope:
+        with trio.move_on_after(http1.IDLE_SECONDS) as scope:
             self._idle_scopes.add(scope)
             try:
                 has_request = await reader.wait_request()
@@ -74,22 +74,28 @@
                 await stream.send_all(data)
                 await http1.linger(stream)
             return False
-        answered = await reader.run_while_open(self._answer, request)
-        if answered is None:
-            return False
-        response, finish = answered
-        is_kept = reader.is_persistent and not self._is_draining
-        data = http1.encode_response(
-            response, method=request.method, is_persistent=is_kept
+        return bool(
+            await reader.run_while_open(self._respond, request, reader, stream)
         )
-        is_sent = False
+
+    async def _respond(self, request, reader, stream):
+        """Answer a request; return whether the connection is kept.
+
+        The answer is sent while the client is still being watched, so that
+        ending the watch adds nothing to the latency.
+        """
+        response, finish = await self._answer(request)
         try:
+            is_kept = reader.is_persistent and not self._is_draining
+            data = http1.encode_response(
+                response, method=request.method, is_persistent=is_kept
+            )
             with trio.move_on_after(SEND_SECONDS):
                 await stream.send_all(data)
-                is_sent = True
+                return is_kept
+            return False
         finally:
             finish()
-        return is_sent and is_kept
 
     def begin_drain(self):
         """Close idle connections, and each other one after its answer."""
--- a/tests/core/test_entry.py
+++ b/tests/core/test_entry.py
@@ -350,3 +350,12 @@
         answer = await http1.ResponseReader(stream=busy).read("GET")
         assert answer.header("connection") == "close"
         assert await busy.receive_some() == b""
+
+
+async def test_a_connection_without_requests_is_closed(
+    nursery, autojump_clock
+):
+    """Guards against connections held by clients that send nothing."""
+    async with Mesh(nursery, None).caller() as stream:
+        with trio.fail_after(http1.IDLE_SECONDS + 1):
+            assert await stream.receive_some() == b""
