Serve a connection within one cancel scope

Cause: four cancel scopes a request cost more than the parsing of a message. Change: one scope a connection for idle time, drain and hang-up; answers that fit into the socket buffer are sent at once; pools share a counter of idle connections instead of summing over all pools.

--- a/bench/hop.py
+++ b/bench/hop.py
@@ -326,24 +326,26 @@
 
 
 def _processor_seconds(processes):
-    return [
-        sum(psutil.Process(each.pid).cpu_times()[:2]) for each in processes
-    ]
+    """Return the user and system time of all processes together."""
+    times = [psutil.Process(each.pid).cpu_times() for each in processes]
+    return sum(each.user for each in times), sum(each.system for each in times)
 
 
 async def _measure(direct, mesh, processes, rate, seconds, rounds):
     """Alternate direct and mesh load, so that both see the same machine."""
     by_path = {"direct": [], "mesh": []}
     failures = []
-    processor = 0.0
+    processor = {"user": 0.0, "system": 0.0}
     for number in range(rounds):
         for name, client in (("direct", direct), ("mesh", mesh)):
-            before = sum(_processor_seconds(processes))
+            before = _processor_seconds(processes)
             latencies, failed = await _load(
                 client, rate, seconds / rounds, number
             )
             if name == "mesh":
-                processor += sum(_processor_seconds(processes)) - before
+                after = _processor_seconds(processes)
+                processor["user"] += after[0] - before[0]
+                processor["system"] += after[1] - before[1]
             by_path[name] += latencies
             failures += failed
     found = {name: _percentiles(each) for name, each in by_path.items()}
@@ -356,9 +358,10 @@
         "requests": len(by_path["mesh"]),
         "failures": len(failures),
         **found,
-        "processor_ms_per_request": round(
-            processor * 1000 / len(by_path["mesh"]), 3
-        ),
+        "processor_ms_per_request": {
+            kind: round(seconds_spent * 1000 / len(by_path["mesh"]), 3)
+            for kind, seconds_spent in processor.items()
+        },
     }
 
 
--- a/shallotbridge/core/forwarding.py
+++ b/shallotbridge/core/forwarding.py
@@ -36,6 +36,7 @@
         self._open_stream = open_stream
         self._port = port
         self._pools_by_host_id = {}
+        self._idle_counter = pool.IdleCounter(maximum=MAXIMUM_IDLE_CONNECTIONS)
         self._sweep_at = 0.0
 
     async def forward(self, host, call):
@@ -57,7 +58,12 @@
             The owner node's typed failure, or that of the exchange.
         """
         await self._sweep()
-        owner_pool = self._pool_of(host)
+        owner_pool = self._pools_by_host_id.get(host.host_id)
+        if owner_pool is None or owner_pool.address != host.address:
+            replaced, owner_pool = owner_pool, self._add_pool(host)
+            if replaced is not None:
+                # A replaced host may return with its id and another address.
+                await replaced.close()
         request = model.Request(
             method=call.request.method,
             target=call.request.target,
@@ -75,29 +81,23 @@
             return response
         raise _owner_error(host, code, response)
 
-    def _pool_of(self, host):
-        found = self._pools_by_host_id.get(host.host_id)
-        if found is not None and found.address == host.address:
-            return found
-        # A replaced host may return with its id and another address.
-        self._pools_by_host_id[host.host_id] = found = pool.ConnectionPool(
+    def _add_pool(self, host):
+        added = pool.ConnectionPool(
             open_stream=self._open_stream,
             address=host.address,
             port=self._port,
             maximum=MAXIMUM_CONNECTIONS,
             id_header=protocol.REQUEST_ID,
             is_id_required=True,
-            may_keep=self._may_keep,
+            idle_counter=self._idle_counter,
         )
-        return found
+        self._pools_by_host_id[host.host_id] = added
+        return added
 
     @property
     def idle_count(self):
         """Number of idle connections over all owner nodes."""
-        return sum(each.idle_count for each in self._pools_by_host_id.values())
-
-    def _may_keep(self):
-        return self.idle_count < MAXIMUM_IDLE_CONNECTIONS
+        return self._idle_counter.count
 
     async def _sweep(self):
         """Close old idle connections and drop unused pools."""
--- a/shallotbridge/core/http1.py
+++ b/shallotbridge/core/http1.py
@@ -394,6 +394,8 @@
     async def run_while_open(self, function, *arguments):
         """Run an async function until the client closes the connection.
 
+        For streams that cannot report a hang-up themselves.
+
         Returns
         -------
         object
@@ -401,16 +403,6 @@
             because the client went away.
         """
         result = None
-        cancel_on_hang_up = getattr(self._stream, "cancel_on_hang_up", None)
-        if cancel_on_hang_up is not None:
-            # The transport watches all its connections in one task.
-            with trio.CancelScope() as scope:
-                cancel_on_hang_up(scope)
-                try:
-                    result = await function(*arguments)
-                finally:
-                    cancel_on_hang_up(None)
-            return result
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch, nursery.cancel_scope)
             result = await function(*arguments)
--- a/shallotbridge/core/pool.py
+++ b/shallotbridge/core/pool.py
@@ -17,6 +17,14 @@
 IDLE_SECONDS = 4.0
 
 
+class IdleCounter:
+    """Idle connections of all pools that share it, with their bound."""
+
+    def __init__(self, *, maximum):
+        self.maximum = maximum
+        self.count = 0
+
+
 class _Connection:
     __slots__ = ("stream", "reader", "idle_since")
 
@@ -42,8 +50,8 @@
         Header in which a response echoes the request's id.
     is_id_required : bool
         Whether a response without that header is refused.
-    may_keep : callable
-        ``may_keep()`` tells whether one more idle connection may be kept.
+    idle_counter : IdleCounter, optional
+        Shared with other pools; bounds the idle connections of all.
     """
 
     def __init__(
@@ -55,14 +63,14 @@
         maximum,
         id_header="x-request-id",
         is_id_required=False,
-        may_keep=lambda: True,
+        idle_counter=None,
     ):
         self._open_stream = open_stream
         self.address = address
         self.port = port
         self._id_header = id_header
         self._is_id_required = is_id_required
-        self._may_keep = may_keep
+        self._idle_counter = idle_counter or IdleCounter(maximum=maximum)
         self._idle = collections.deque()
         self._places = trio.Semaphore(maximum, max_value=maximum)
         self._is_closed = False
@@ -162,9 +170,15 @@
                 is_kept = connection.reader.is_persistent
                 return response
             finally:
-                if is_kept and not self._is_closed and self._may_keep():
+                counter = self._idle_counter
+                if (
+                    is_kept
+                    and not self._is_closed
+                    and counter.count < counter.maximum
+                ):
                     connection.idle_since = trio.current_time()
                     self._idle.append(connection)
+                    counter.count += 1
                 else:
                     await trio.aclose_forcefully(connection.stream)
 
@@ -203,6 +217,7 @@
         oldest = trio.current_time() - IDLE_SECONDS
         while self._idle:
             connection = self._idle.pop()
+            self._idle_counter.count -= 1
             if connection.idle_since > oldest and not _is_readable(
                 connection.stream
             ):
@@ -224,6 +239,7 @@
         oldest = trio.current_time() - IDLE_SECONDS
         while self._idle and self._idle[0].idle_since <= oldest:
             connection = self._idle.popleft()
+            self._idle_counter.count -= 1
             await trio.aclose_forcefully(connection.stream)
 
     async def close(self):
@@ -231,6 +247,7 @@
         self._is_closed = True
         while self._idle:
             connection = self._idle.popleft()
+            self._idle_counter.count -= 1
             await trio.aclose_forcefully(connection.stream)
 
 
--- a/shallotbridge/core/serving.py
+++ b/shallotbridge/core/serving.py
@@ -1,5 +1,7 @@
 """The loop that serves the requests of one connection."""
 
+import math
+
 import trio
 
 from . import errors
@@ -32,38 +34,49 @@
         self.busy_count = 0
 
     async def handle(self, stream):
-        """Serve a connection until either side closes it."""
+        """Serve a connection until either side closes it.
+
+        One cancel scope ends the connection when it is idle for too long,
+        when a drain finds it idle, and when the transport reports that the
+        client hung up. A scope for each of these would cost more than the
+        parsing of a request.
+        """
         reader = http1.RequestReader(stream=stream)
         try:
-            while await self._wait_request(reader):
-                self.busy_count += 1
-                try:
-                    is_kept = await self._serve_one(reader, stream)
-                finally:
-                    self.busy_count -= 1
-                    if not self.busy_count:
-                        self._became_idle.set()
-                if not is_kept:
-                    return
+            with trio.CancelScope() as scope:
+                watch = getattr(stream, "cancel_on_hang_up", None)
+                if watch is not None:
+                    watch(scope)
+                while await self._wait_request(reader, scope):
+                    self.busy_count += 1
+                    try:
+                        is_kept = await self._serve_one(
+                            reader, stream, watch is not None
+                        )
+                    finally:
+                        self.busy_count -= 1
+                        if not self.busy_count:
+                            self._became_idle.set()
+                    if not is_kept:
+                        return
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The client closed the connection; nobody reads an answer.
             pass
         finally:
             await trio.aclose_forcefully(stream)
 
-    async def _wait_request(self, reader):
+    async def _wait_request(self, reader, scope):
         if self._is_draining:
             return False
-        has_request = False
-        with trio.move_on_after(http1.IDLE_SECONDS) as scope:
-            self._idle_scopes.add(scope)
-            try:
-                has_request = await reader.wait_request()
-            finally:
-                self._idle_scopes.discard(scope)
-        return has_request
-
-    async def _serve_one(self, reader, stream):
+        scope.deadline = trio.current_time() + http1.IDLE_SECONDS
+        self._idle_scopes.add(scope)
+        try:
+            return await reader.wait_request()
+        finally:
+            self._idle_scopes.discard(scope)
+            scope.deadline = math.inf
+
+    async def _serve_one(self, reader, stream, is_watched):
         try:
             request = await reader.read()
         except errors.FramingError as error:
@@ -74,6 +87,8 @@
                 await stream.send_all(data)
                 await http1.linger(stream)
             return False
+        if is_watched:
+            return await self._respond(request, reader, stream)
         return bool(
             await reader.run_while_open(self._respond, request, reader, stream)
         )
@@ -90,10 +105,13 @@
             data = http1.encode_response(
                 response, method=request.method, is_persistent=is_kept
             )
-            with trio.move_on_after(SEND_SECONDS):
-                await stream.send_all(data)
-                return is_kept
-            return False
+            send_now = getattr(stream, "send_now", None)
+            sent = 0 if send_now is None else send_now(data)
+            if sent < len(data):
+                with trio.move_on_after(SEND_SECONDS) as scope:
+                    await stream.send_all(memoryview(data)[sent:])
+                return is_kept and not scope.cancelled_caught
+            return is_kept
         finally:
             finish()
 
--- a/shallotbridge/transports/tcp.py
+++ b/shallotbridge/transports/tcp.py
@@ -87,6 +87,16 @@
             except OSError as error:
                 raise trio.BrokenResourceError(str(error)) from error
 
+    def send_now(self, data):
+        """Write what fits without waiting; return how many bytes did."""
+        self._check_open()
+        try:
+            return self._socket.send(data)
+        except BlockingIOError:
+            return 0
+        except OSError as error:
+            raise trio.BrokenResourceError(str(error)) from error
+
     async def send_all(self, data):
         """Write all bytes."""
         sent = await self.send_some(data)
