--- a/tests/core/test_entry.py
+++ b/tests/core/test_entry.py
@@ -9,7 +9,6 @@
 import trio
 import trio.testing
 
-from shallotbridge.core import directory
 from shallotbridge.core import entry
 from shallotbridge.core import errors
 from shallotbridge.core import forwarding
@@ -82,13 +81,10 @@
     def choose(self, call, excluded):
         for host in self.hosts:
             if host.host_id not in excluded:
-                return host, directory.Choice(
-                    host_id=host.host_id,
-                    candidates=(host.host_id,),
-                    group=directory.OWN_DOMAIN,
-                    reason="first",
-                    free=1,
+                choice = types.SimpleNamespace(
+                    candidates=(host.host_id,), reason="first"
                 )
+                return host, choice
         raise errors.NoUpstreamError("no host left")
 
     def on_sent(self, host_id):
@@ -375,3 +371,12 @@
             assert reader.is_persistent is is_kept
             mesh.server.begin_drain()
         await mesh.server.wait_idle()
+
+
+async def test_a_connection_without_requests_is_closed(
+    nursery, autojump_clock
+):
+    """Guards against connections held by clients that send nothing."""
+    async with Mesh(nursery, None).caller() as stream:
+        with trio.fail_after(http1.IDLE_SECONDS + 1):
+            assert await stream.receive_some() == b""
