Test the node with real processes

Cause: signals, ports and exit codes need real processes. Change: tests/test_processes.py; verdicts depend on no timing.

--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,117 @@
+"""Tests with real processes and sockets; no timing decides a verdict."""
+
+import signal
+
+import httpx
+import pytest
+
+from bench import processes
+
+
+@pytest.fixture
+def running():
+    """Processes that end with the test."""
+    with processes.running_processes() as started:
+        yield started
+
+
+@pytest.fixture
+def hosts():
+    """Two hosts of one failure domain on free addresses."""
+    prefix = processes.free_network()
+    return [
+        processes.HostPlan(
+            host_id=f"c1-showroom-{number}",
+            address=f"{prefix}.1.{number}",
+            service="showroom",
+            failure_domain="cairo-1",
+        )
+        for number in (1, 2)
+    ]
+
+
+@pytest.fixture
+def platform(running, hosts):
+    """A platform with version 1 of the nileweave example."""
+    prefix = hosts[0].address.rsplit(".", 2)[0]
+    plan = processes.PlatformPlan(address=f"{prefix}.0.1")
+    processes.start_platform(running, plan)
+    plan.publish_hosts(hosts)
+    output = running.directory / "v1"
+    tree = processes.ROOT / "examples" / "nileweave"
+    processes.run_command("build", tree, "--base", "none", "--output", output)
+    plan.publish(output)
+    return plan
+
+
+def _start(running, hosts, platform):
+    for host in hosts:
+        processes.start_upstream(running, host)
+        processes.start_node(
+            running, host, platform_url=platform.url, fleet_size=2
+        )
+    processes.wait_enforcing(running, hosts)
+
+
+def _browse(host):
+    url = f"http://{host.address}:{processes.CALLER_PORT}/showroom/stock"
+    return httpx.get(url, timeout=processes.READY_SECONDS, trust_env=False)
+
+
+def test_a_node_serves_drains_and_keeps_its_version(running, hosts, platform):
+    """Guards against a stop that is not clean and a restart that goes back.
+
+    The platform goes back to no configuration before the restart, so that
+    only the peer knows the version.
+    """
+    _start(running, hosts, platform)
+    # On a busy machine a request may miss the route's deadline of 400 ms.
+    processes.wait_until(
+        lambda: _browse(hosts[0]).headers["x-shallotbridge-outcome"] == "run",
+        description="a request ran",
+    )
+    killed = f"node-{hosts[1].host_id}"
+    running.send_signal(killed, signal.SIGKILL)
+    assert running.wait(killed) == -signal.SIGKILL
+    platform.put("mode", document={"mode": "down"})
+    processes.start_node(
+        running,
+        hosts[1],
+        platform_url=platform.url,
+        seeds=[hosts[0].address],
+        fleet_size=2,
+    )
+    processes.wait_enforcing(running, hosts[1:])
+    drained = f"node-{hosts[0].host_id}"
+    running.send_signal(drained, signal.SIGTERM)
+    assert running.wait(drained) == 0
+    with pytest.raises(httpx.ConnectError):
+        _browse(hosts[0])
+    lines = running.output(drained)
+    assert '"message_type":"shallotbridge:node_drained"' in lines
+
+
+def test_a_port_in_use_and_a_wrong_setting_have_their_exit_codes(
+    running, hosts, platform
+):
+    """Guards against a node that seems to run and does not listen."""
+    url = platform.url
+    processes.start_node(running, hosts[0], platform_url=url)
+    processes.wait_answer(
+        running,
+        f"node-{hosts[0].host_id}",
+        lambda: processes.node_status(hosts[0].address),
+    )
+    other = processes.HostPlan(
+        host_id="other",
+        address=hosts[0].address,
+        service="showroom",
+        failure_domain="cairo-1",
+    )
+    name = processes.start_node(running, other, platform_url=url)
+    assert running.wait(name) == 4
+    assert hosts[0].address in running.output(name)
+    name = processes.start_node(running, other, platform_url="x", readers=0)
+    assert running.wait(name) == 2
+    output = running.output(name)
+    assert "--readers" in output and "SHALLOTBRIDGE_PLATFORM_URL" in output
