Try unreachable peers early and mark faulty ones apart

Cause: after a partition, a node that suspected all its peers stayed isolated for up to 30 s. Change: one unreachable peer is tried every 2 to 4 s; peers with malformed replies stay excluded; a pause of the own process accuses no peer.

--- a/shallotbridge/core/sync.py
+++ b/shallotbridge/core/sync.py
@@ -29,6 +29,9 @@
 SYNC_ONCE_PEERS = 3
 # Of these, so many answers with a version are waited for.
 SYNC_ONCE_ENOUGH = 2
+# Longest time between trials of a suspected peer, seconds. They end the
+# isolation of a node soon after a partition of which it suspects all peers.
+PROBE_SECONDS = 4.0
 # Senders that are ahead and wait to be asked for what they have.
 _QUEUED_PULLS = 4
 _MILLISECONDS = 1000
@@ -199,6 +202,7 @@
         """Keep one task for each parent until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._pull)
+            nursery.start_soon(self._probe)
             scopes_by_parent = {}
             while True:
                 generation = self._topology.generation
@@ -279,7 +283,7 @@
                 reply = await self.exchange(host, 0.0, timeout)
             except errors.DistributionError as error:
                 self._record_failure(host, error)
-                self._topology.suspect(host.host_id)
+                self._suspect(host, error)
             else:
                 self._topology.clear(host.host_id)
                 heads_by_id[host.host_id] = store_module.from_message(
@@ -383,6 +387,21 @@
         async for host in self._receive_pull:
             await self.ask([host])
 
+    async def _probe(self):
+        """Try one of the unreachable peers now and then."""
+        while True:
+            await trio.sleep(self._random.uniform(0.5, 1.0) * PROBE_SECONDS)
+            suspected_ids = self._topology.unreachable_ids()
+            listed = map(self._hosts.hosts_by_id.get, sorted(suspected_ids))
+            suspected = [host for host in listed if host is not None]
+            suspected += [
+                seed
+                for seed in self._topology.seeds
+                if seed.host_id in suspected_ids
+            ]
+            if suspected:
+                await self.ask([self._random.choice(suspected)])
+
     async def _follow(self, parent, scope):
         with scope:
             failures = 0
@@ -397,7 +416,7 @@
                     self._record_failure(parent, error)
                     elapsed = trio.current_time() - started_at
                     if elapsed < timeout + PAUSE_SECONDS:
-                        self._topology.suspect(parent.host_id)
+                        self._suspect(parent, error)
                     await trio.sleep(
                         platform.backoff_seconds(
                             self._random,
@@ -458,6 +477,12 @@
             raise caught
         return is_answered
 
+    def _suspect(self, host, error):
+        self._topology.suspect(
+            host.host_id,
+            is_faulty=not isinstance(error, errors.PeerUnavailableError),
+        )
+
     def _record_failure(self, host, error):
         decisions.record(
             "sync_failed",
--- a/shallotbridge/core/topology.py
+++ b/shallotbridge/core/topology.py
@@ -102,6 +102,7 @@
         self._fan_out = fan_out
         self._suspicion_seconds = suspicion_seconds
         self._expiry_by_id = {}
+        self._faulty_ids = set()
         self._suspicion_generation = 0
         self._changed = trio.Event()
         self._orders_by_domain = {}
@@ -160,22 +161,37 @@
                 )
         return remote_parents
 
-    def suspect(self, host_id):
-        """Exclude a peer that did not answer for a while."""
-        if host_id not in self._expiry_by_id:
-            decisions.record(
-                "peer_suspected",
-                chosen=host_id,
-                reason=f"no usable answer; excluded for "
-                f"{self._suspicion_seconds} s",
-            )
+    def suspect(self, host_id, *, is_faulty=False):
+        """Exclude a peer for a while.
+
+        A failed trial meanwhile does not prolong it.
+
+        Parameters
+        ----------
+        host_id : str
+        is_faulty : bool
+            It answered, but not as a correct node does; such a peer is not
+            among ``unreachable_ids``.
+        """
+        self._expire()
+        if host_id in self._expiry_by_id:
+            return
+        decisions.record(
+            "peer_suspected",
+            chosen=host_id,
+            reason=f"no usable answer; excluded for "
+            f"{self._suspicion_seconds} s",
+        )
         self._expiry_by_id[host_id] = (
             trio.current_time() + self._suspicion_seconds
         )
+        if is_faulty:
+            self._faulty_ids.add(host_id)
         self._suspicions_changed()
 
     def clear(self, host_id):
         """Use a peer again that answered."""
+        self._faulty_ids.discard(host_id)
         if self._expiry_by_id.pop(host_id, None) is not None:
             self._suspicions_changed()
 
@@ -184,6 +200,10 @@
         self._expire()
         return frozenset(self._expiry_by_id)
 
+    def unreachable_ids(self):
+        """Return the ids of the excluded peers that did not answer."""
+        return self.suspected_ids() - self._faulty_ids
+
     async def wait_change(self, generation):
         """Wait until hosts or suspicions changed since a generation.
 
@@ -231,6 +251,7 @@
         ]
         for host_id in expired:
             del self._expiry_by_id[host_id]
+            self._faulty_ids.discard(host_id)
         if expired:
             self._suspicions_changed()
 
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -94,6 +94,21 @@
     check_upward(fleet)
 
 
+async def test_an_isolated_node_is_back_before_its_suspicions_end(
+    nursery, autojump_clock
+):
+    """Guards against a node that waits though its peers are reachable."""
+    fleet = await start_fleet(nursery)
+    node = fleet.nodes_by_id["cairo-1-0"]
+    others = [host.address for host in fleet.hosts if host != node.host]
+    fleet.ids_without_platform.add(node.host.host_id)
+    fleet.network.cut([node.host.address], others)
+    await trio.sleep(100)
+    fleet.publish(memory.make_version(2))
+    fleet.network.heal()
+    await fleet.wait_version(2, 10.0)
+
+
 async def test_a_restarted_node_ignores_a_restored_platform(
     nursery, autojump_clock
 ):
--- a/tests/core/test_sync.py
+++ b/tests/core/test_sync.py
@@ -224,6 +224,24 @@
     assert setup.topology.suspected_ids() <= {"p9"}
 
 
+async def test_a_pause_of_the_own_process_accuses_no_peer(
+    nursery, autojump_clock
+):
+    """Guards against a resumed node that excludes its good parents."""
+    setup = ClientSetup()
+
+    async def reply(request):
+        # The call ends long after its timeout of 6.5 s.
+        await trio.sleep(20)
+        raise errors.PeerUnavailableError("DEADLINE_EXCEEDED")
+
+    for host in setup.parents:
+        setup.replies[host.address] = reply
+    nursery.start_soon(setup.client.run)
+    await trio.sleep(20.1)
+    assert not setup.topology.suspected_ids()
+
+
 async def test_sync_once_is_bounded_and_counts_answers(autojump_clock):
     """Guards against new work that waits for silent peers."""
     setup = ClientSetup()
