Make the isolation test depend on the trial of unreachable peers

Cause: in a large domain an isolated node always has another parent to try, so the test passed without the trials. Change: a domain of four, where both parents of the node were found silent. Measured: the test fails with the trials turned off and passes with them. Conclusion: the test guards against what it names.

--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -11,9 +11,9 @@
 CONVERGENCE_SECONDS = 4.0
 
 
-async def start_fleet(nursery):
+async def start_fleet(nursery, domains=None):
     """Return a fleet that enforces version 1 and has its tree built."""
-    fleet = memory.MemoryFleet(domains=DOMAINS, nursery=nursery)
+    fleet = memory.MemoryFleet(domains=domains or DOMAINS, nursery=nursery)
     fleet.publish(memory.make_version(1))
     for host in fleet.hosts:
         fleet.start(host)
@@ -98,12 +98,18 @@
     nursery, autojump_clock
 ):
     """Guards against a node that waits though its peers are reachable."""
-    fleet = await start_fleet(nursery)
-    node = fleet.nodes_by_id["cairo-1-0"]
-    others = [host.address for host in fleet.hosts if host != node.host]
-    fleet.ids_without_platform.add(node.host.host_id)
-    fleet.network.cut([node.host.address], others)
-    await trio.sleep(100)
+    fleet = await start_fleet(nursery, {"cairo-1": 4})
+    readers = fleet.readers("cairo-1")
+    (child,) = [
+        node for node in fleet.nodes_by_id.values() if node not in readers
+    ]
+    fleet.ids_without_platform.add(child.host.host_id)
+    fleet.network.cut(
+        [child.host.address], [node.host.address for node in readers]
+    )
+    # Both parents were found silent by then, and it reads from nobody.
+    await trio.sleep(14.0)
+    assert child.topology.is_reader()
     fleet.publish(memory.make_version(2))
     fleet.network.heal()
     await fleet.wait_version(2, 10.0)
