Limit reads of bundles apart from other platform calls

Change: bundle reads have their own token bucket of 20/s with a burst of 20. Conclusion: large changes meet the bound within the platform's rate.

--- a/shallotbridge/core/platform.py
+++ b/shallotbridge/core/platform.py
@@ -19,6 +19,11 @@
 # Calls a node may make on average and at once.
 CALLS_PER_SECOND = 5.0
 CALL_BURST = 20
+# Bundles have their own limit: a change of all 880 services is 64 bundles,
+# which 5 calls a second would take 9 s to read. The 33 readers of the target
+# together then stay below the platform's 2,000 calls in any second.
+BUNDLES_PER_SECOND = 20.0
+BUNDLE_BURST = 20
 BACKOFF_FIRST_SECONDS = 0.5
 BACKOFF_MAXIMUM_SECONDS = 30.0
 # Time for an answer beyond the wait that was asked for, seconds.
@@ -134,6 +139,9 @@
         self._failure_domain = failure_domain
         self._watch_wait = watch_wait
         self._bucket = TokenBucket(rate=calls_per_second, burst=call_burst)
+        self._bundle_bucket = TokenBucket(
+            rate=BUNDLES_PER_SECOND, burst=BUNDLE_BURST
+        )
         self._revision = 0
         # Keys that changed and were not read completely yet.
         self._pending = set()
@@ -359,7 +367,7 @@
         for reference in head.bundles:
             if reference.digest in known_by_digest:
                 continue
-            content = await self._read(reference.key)
+            content = await self._read(reference.key, self._bundle_bucket)
             if content is None:
                 raise errors.MalformedPartError(
                     f"head {head.version} names {reference.key}, which is "
@@ -374,13 +382,13 @@
             self._bundles_by_digest[reference.digest] = content
         return [known_by_digest[bundle.digest] for bundle in head.bundles]
 
-    async def _read(self, key):
-        content = await self._call(self._platform.read, key)
+    async def _read(self, key, bucket=None):
+        content = await self._call(self._platform.read, key, bucket=bucket)
         self.bytes_received += len(content or b"")
         return content
 
-    async def _call(self, function, *arguments):
-        await self._bucket.take()
+    async def _call(self, function, *arguments, bucket=None):
+        await (bucket or self._bucket).take()
         self.call_count += 1
         try:
             result = await function(*arguments)
--- a/tests/core/test_platform.py
+++ b/tests/core/test_platform.py
@@ -63,6 +63,44 @@
     assert setup.reader.call_count - calls == 3
 
 
+async def test_a_change_of_everything_is_read_in_time_by_all_readers(
+    nursery, autojump_clock
+):
+    """Guards against rate limits that delay a change beyond 4 s.
+
+    33 readers, 64 bundles and 2,000 calls/s are the sizes of section 2.5.
+    """
+
+    def make_large(version):
+        return builders.make_configuration(
+            version=version,
+            services=[
+                builders.make_service(
+                    name=f"service-{number}", routes=[], queue=version
+                )
+                for number in range(880)
+            ],
+        )
+
+    setups = [Setup() for _ in range(33)]
+    state = setups[0].state
+    state.put(memory.platform_values(make_large(1)))
+    for setup in setups:
+        setup.reader = platform_module.PlatformReader(
+            platform=state.as_platform(),
+            store=setup.store,
+            hosts=setup.hosts,
+            random=random.Random(1),
+        )
+        nursery.start_soon(setup.reader.run)
+    await trio.sleep(60)
+    state.put(memory.platform_values(make_large(2)))
+    for setup in setups:
+        await setup.wait_version(2, 4.0)
+    assert trio.current_time() < 64.0
+    assert state.refused_count == 0
+
+
 def truncate(content):
     """Return the first half of a value."""
     return content[: len(content) // 2]
