--- a/shallotbridge/cli/__init__.py
+++ b/shallotbridge/cli/__init__.py
@@ -11,6 +11,8 @@
     "check",
     "diff",
     "domain",
+    "node",
+    "status",
     "version",
 )
 
--- a/shallotbridge/core/errors.py
+++ b/shallotbridge/core/errors.py
@@ -178,6 +178,8 @@
     outcome = Outcome.NOT_RUN
     # True when the same request may be sent again without any risk.
     is_retry_safe = True
+    # True when a connection was lost while the request was in flight.
+    is_reset = False
 
 
 class NoRouteError(CallError):
@@ -272,10 +274,22 @@
 
 
 class UpstreamRefusedError(CallError):
-    """The upstream itself refused the request and did not run it."""
+    """The upstream itself refused the request and did not run it.
+
+    Parameters
+    ----------
+    detail : str
+    reason : str
+        Value of the upstream's ``x-refused`` header: ``overloaded``,
+        ``cold``, ``leaving`` or ``deadline``.
+    """
 
     code = "SB-3014"
 
+    def __init__(self, detail="", *, reason="overloaded"):
+        super().__init__(detail)
+        self.reason = reason
+
 
 class ColdError(CallError):
     """The upstream is cold and has no capacity left in its ramp."""
