Refuse versions that do not follow their base; send the asker's uptime

Cause: a wrongly numbered publication far ahead was accepted, after which every node refused the versions that follow the true one. A key query did not say how long the asking node has been up, so a repetition at a young owner was answered 409 although the first sending had not run. Change: the store checks base_version; KeyQuery carries uptime_ms.

--- a/shallotbridge/core/node.py
+++ b/shallotbridge/core/node.py
@@ -439,7 +439,9 @@
     async def _answer_key_query(self, query):
         state = keys.KeyState.UNCERTAIN
         if self._is_of_own_service(query):
-            state = self._keys.look_up(query.key, query.sender)
+            state = self._keys.look_up(
+                query.key, query.sender, query.uptime_ms / _MILLISECONDS
+            )
         answer = peer_pb2.KeyAnswer(state=_STATES_BY_KEY_STATE[state])
         self._peer_bytes["sent"] += answer.ByteSize()
         return answer
@@ -464,6 +466,7 @@
                 sender=self.own_host.host_id,
                 service=self.own_host.service,
                 key=key,
+                uptime_ms=round(self._uptime() * _MILLISECONDS),
             ),
             timeout,
         )
@@ -643,6 +646,9 @@
         configuration = self.store.configuration
         return 0 if configuration is None else configuration.head.version
 
+    def _uptime(self):
+        return trio.current_time() - self._started_at
+
     def status(self):
         """Return the status as plain values, for the operator endpoint."""
         configuration = self.store.configuration
@@ -675,5 +681,5 @@
             "counters": self.metrics.totals(),
             "control_bytes": self.control_bytes(),
             "convergence_seconds": self._timer.last_seconds,
-            "uptime_seconds": trio.current_time() - self._started_at,
+            "uptime_seconds": self._uptime(),
         }
--- a/shallotbridge/core/store.py
+++ b/shallotbridge/core/store.py
@@ -230,6 +230,13 @@
         return self.configuration
 
     def _verify(self, candidate, update):
+        if update.base_version != candidate.version - 1:
+            # A number too far ahead would make every node refuse the
+            # versions that follow the true one.
+            raise errors.MalformedPartError(
+                f"version {candidate.version} is built on version "
+                f"{update.base_version}; expected {candidate.version - 1}"
+            )
         contents_by_name = self._contents_of(update)
         current = self._current
         digests_by_name = {
