--- a/shallotbridge/core/errors.py
+++ b/shallotbridge/core/errors.py
@@ -80,6 +80,24 @@
     code = "SB-1005"
 
 
+class UnchangedBuildError(BuildError):
+    """A tree has the content of its base, so a new version is needless."""
+
+    code = "SB-1006"
+
+
+class ServiceWithoutDomainError(ConfigurationError):
+    """A service would keep no failure domain that is in service."""
+
+    code = "SB-1007"
+
+
+class UnreadableInputError(ConfigurationError):
+    """A file or directory that an operator named cannot be used."""
+
+    code = "SB-1008"
+
+
 # Distribution.
 
 
@@ -256,10 +274,22 @@
 
 
 class UpstreamRefusedError(CallError):
-    """The upstream itself refused the request and did not run it."""
+    """The upstream itself refused the request and did not run it.
+
+    Parameters
+    ----------
+    detail : str
+    reason : str
+        Value of the upstream's ``x-refused`` header: ``overloaded``,
+        ``cold``, ``leaving`` or ``deadline``.
+    """
 
     code = "SB-3014"
 
+    def __init__(self, detail="", *, reason="overloaded"):
+        super().__init__(detail)
+        self.reason = reason
+
 
 class ColdError(CallError):
     """The upstream is cold and has no capacity left in its ramp."""
--- /dev/null
+++ b/tests/transports/test_grpc_peer.py
@@ -0,0 +1,125 @@
+"""Tests of the gRPC transport over real sockets on a loopback address."""
+
+import contextlib
+import threading
+
+import pytest
+import trio
+
+from shallotbridge._generated import peer_pb2
+from shallotbridge.core import errors
+from shallotbridge.transports import grpc_peer
+from shallotbridge.transports import network
+
+ADDRESS = "127.0.0.1"
+TIMEOUT = 20.0
+
+
+@contextlib.asynccontextmanager
+async def serving(sync, **options):
+    """Serve a handler; give the client side and the nursery."""
+    handlers = network.PeerHandlers(
+        sync=sync, report_crash=None, lookup_key=None, hand_over=None
+    )
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(grpc_peer.serve, ADDRESS, 0, handlers)
+        peers = grpc_peer.GrpcPeers(port=port, **options)
+        yield peers, nursery
+        with trio.CancelScope(shield=True):
+            await peers.close()
+        nursery.cancel_scope.cancel()
+
+
+async def answer(request):
+    """Answer at once."""
+    return peer_pb2.SyncReply(sender=request.sender)
+
+
+async def test_calls_are_answered_in_trio():
+    """Guards against a handler that runs in one of gRPC's threads."""
+    threads = []
+
+    async def sync(request):
+        threads.append(threading.current_thread())
+        return await answer(request)
+
+    async with serving(sync) as (peers, _):
+        reply = await peers.as_peers().sync(
+            ADDRESS, peer_pb2.SyncRequest(sender="h1"), TIMEOUT
+        )
+    assert reply.sender == "h1"
+    assert threads == [threading.current_thread()]
+
+
+async def test_cancelling_the_task_ends_the_handler():
+    """Guards against held calls of children that are gone."""
+    started, ended = trio.Event(), trio.Event()
+
+    async def sync(request):
+        started.set()
+        try:
+            await trio.sleep_forever()
+        finally:
+            ended.set()
+
+    async with serving(sync) as (peers, _):
+        async with trio.open_nursery() as calls:
+            calls.start_soon(
+                peers.as_peers().sync, ADDRESS, peer_pb2.SyncRequest(), TIMEOUT
+            )
+            await started.wait()
+            calls.cancel_scope.cancel()
+        with trio.fail_after(TIMEOUT):
+            await ended.wait()
+
+
+async def test_stopping_the_server_fails_held_calls():
+    """Guards against a stop that waits for long polls, or breaks trio."""
+
+    async with serving(lambda request: hold()) as (peers, nursery):
+
+        async def hold():
+            nursery.cancel_scope.cancel()
+            await trio.sleep_forever()
+
+        with trio.CancelScope(shield=True):
+            with pytest.raises(errors.PeerUnavailableError):
+                await peers.as_peers().sync(
+                    ADDRESS, peer_pb2.SyncRequest(), TIMEOUT
+                )
+
+
+async def test_unreachable_silent_and_oversized_are_typed_errors():
+    """Guards against gRPC's errors in the node's logic."""
+
+    async def sync(request):
+        if request.sender == "silent":
+            await trio.sleep_forever()
+        size = grpc_peer.MAXIMUM_MESSAGE_BYTES
+        return peer_pb2.SyncReply(sender="x" * size)
+
+    async with serving(sync) as (peers, _):
+        for address, sender, timeout, reason in (
+            ("127.0.0.2", "refused", TIMEOUT, "UNAVAILABLE"),
+            (ADDRESS, "silent", 0.2, "DEADLINE_EXCEEDED"),
+            (ADDRESS, "oversized", TIMEOUT, "RESOURCE_EXHAUSTED"),
+        ):
+            with pytest.raises(errors.PeerUnavailableError, match=reason):
+                await peers.as_peers().sync(
+                    address, peer_pb2.SyncRequest(sender=sender), timeout
+                )
+
+
+async def test_a_second_server_on_a_port_fails_to_start():
+    """Guards against two nodes that share the calls of one address."""
+    async with serving(answer) as (peers, _):
+        await peers.as_peers().sync(ADDRESS, peer_pb2.SyncRequest(), TIMEOUT)
+        with pytest.raises(OSError, match="can not listen"):
+            await grpc_peer.serve(ADDRESS, peers.port, None)
+
+
+async def test_idle_channels_are_closed():
+    """Guards against channels to hosts that are gone."""
+    async with serving(answer, idle_seconds=-1.0) as (peers, _):
+        await peers.as_peers().sync(ADDRESS, peer_pb2.SyncRequest(), TIMEOUT)
+        assert not peers.addresses
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -1,9 +1,12 @@
-"""Generate the committed code from the files in ``schema/``.
+"""Generate the committed code and pages from the sources of truth.
+
+These are the files in ``schema/`` and ``shallotbridge/core/errors.py``.
 
 ``python -m tools.generate`` writes the code; with ``--check`` it only
 reports files that differ from what the schema gives.
 """
 
+import json
 import pathlib
 import re
 import sys
@@ -12,10 +15,15 @@
 
 from grpc_tools import protoc
 
+from shallotbridge.core import errors
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SCHEMA = ROOT / "schema"
 GENERATED = pathlib.Path("shallotbridge/_generated")
+CONFIGURATION_SCHEMA = "configuration.schema.json"
+KEYS_PAGE = pathlib.Path("docs/configuration-keys.md")
 SETTINGS_PAGE = pathlib.Path("docs/settings.md")
+ERRORS_PAGE = pathlib.Path("docs/errors.md")
 TYPE_NAMES = {
     "str": "str",
     "ip": "str",
@@ -165,6 +173,70 @@
     return "\n".join(lines) + "\n"
 
 
+def _errors_page():
+    lines = [
+        "# Errors",
+        "",
+        "Made by `python -m tools.generate` from",
+        "`shallotbridge/core/errors.py`. Codes are stable. SB-1xxx are errors",
+        "of an operator's files and builds, SB-2xxx of distribution, SB-3xxx",
+        "answers to callers, SB-4xxx settings. Only answers to callers have a",
+        "status, an outcome and a word on retries; `callers-guide.md` says",
+        "what they mean for a caller.",
+        "",
+        "| code | type | meaning | status | outcome | retry |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
+    for code, error_type in sorted(errors.errors_by_code().items()):
+        meaning = " ".join(error_type.__doc__.split("\n\n")[0].split())
+        facts = ["", "", ""]
+        if issubclass(error_type, errors.CallError):
+            retry = "safe" if error_type.is_retry_safe else "unsafe"
+            facts = [str(error_type.status), str(error_type.outcome), retry]
+        name = error_type.__name__
+        lines.append(
+            " | ".join([f"| {code}", f"`{name}`", meaning, *facts]) + " |"
+        )
+    return "\n".join(lines) + "\n"
+
+
+def _keys_page(definitions):
+    lines = [
+        "# Keys of the configuration files",
+        "",
+        "Made by `python -m tools.generate` from "
+        "`schema/configuration.schema.json`.",
+        "[configuration.md](configuration.md) explains the files.",
+    ]
+    tables = {
+        "mesh.toml": "mesh",
+        "mesh.toml, [[failure_domain]]": "failure_domain",
+        "shallotbridge.toml": "service",
+        "shallotbridge.toml, [upstream]": "upstream",
+        "shallotbridge.toml, [[route]]": "route",
+    }
+    for heading, definition in tables.items():
+        lines += [
+            "",
+            f"## {heading}",
+            "",
+            "| key | allowed | default | meaning |",
+            "| --- | --- | --- | --- |",
+        ]
+        schema = definitions[definition]
+        for key, value in schema["properties"].items():
+            if "$ref" in value:
+                value = definitions[value["$ref"].split("/")[-1]] | value
+            default = "required"
+            if key not in schema["required"]:
+                default = f"`{json.dumps(value['default'])}`"
+            lines.append(
+                f"| `{key}` | {value['title']} | {default} "
+                f"| {value['description']} |"
+            )
+    return "\n".join(lines) + "\n"
+
+
 def generate(target):
     """Write all generated files below a directory.
 
@@ -182,6 +254,12 @@
     )
     (target / GENERATED / "settings.py").write_text(_settings_code(settings))
     (target / SETTINGS_PAGE).write_text(_settings_page(settings))
+    (target / ERRORS_PAGE).write_text(_errors_page())
+    schema_text = (SCHEMA / CONFIGURATION_SCHEMA).read_text()
+    # A copy inside the package, so that the built program contains it.
+    (target / GENERATED / CONFIGURATION_SCHEMA).write_text(schema_text)
+    definitions = json.loads(schema_text)["$defs"]
+    (target / KEYS_PAGE).write_text(_keys_page(definitions))
 
 
 def _differing_files():
@@ -207,7 +285,7 @@
         return 0
     differing = list(_differing_files())
     for name in differing:
-        print(f"{name} differs from schema/; run 'make generate'")
+        print(f"{name} differs from its source; run 'make generate'")
     return 1 if differing else 0
 
 
