End the demo cleanly at a signal

Cause: SystemExit raised by a signal handler inside trio left a confusing traceback. Change: a signal cancels the steps; processes end as on any exit.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -7,7 +7,6 @@
 """
 
 import collections
-import contextlib
 import functools
 import pathlib
 import random
@@ -28,6 +27,7 @@
 SAMPLE_SECONDS = 0.2
 # Fixed, so that two runs send the same mix; processes still differ.
 RANDOM_SEED = 7
+EXIT_INTERRUPTED = 130
 KINDS = (
     load.Kind(method="GET", path="/showroom/stock", is_idempotent=True),
     load.Kind(
@@ -411,11 +411,26 @@
     return 0
 
 
+async def run_until_signal(running):
+    """Run all steps, or end early at a signal; returns the exit status."""
+    status = EXIT_INTERRUPTED
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+
+            async def end_at_signal():
+                await signals.__anext__()
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(end_at_signal)
+            status = await run(running)
+            nursery.cancel_scope.cancel()
+    return status
+
+
 def main():
     """Run the demo; returns the exit status."""
-    with contextlib.ExitStack() as stack:
-        running = stack.enter_context(processes.running_processes())
-        return trio.run(run, running)
+    with processes.running_processes() as running:
+        return trio.run(run_until_signal, running)
 
 
 if __name__ == "__main__":
