Start reader and client after the first peers; notice silent parents in 3.5 s

Cause: the node started its reader and its client together with the search for a configuration, so a fleet that starts as one called the platform at the same moment. Two silent parents went unnoticed for 6.5 s, above the 4 s in which a version must be in force. Change: reader and client start when find_configuration reports the first peers; poll_wait is 2 s. The client tests state their poll_wait of 5 s, because their second parent must stay silent for longer than the test.

--- a/shallotbridge/_generated/settings.py
+++ b/shallotbridge/_generated/settings.py
@@ -38,7 +38,7 @@
     statsd_address: str = ""
     drain_timeout: float = 20.0
     start_wait: float = 3.0
-    poll_wait: float = 5.0
+    poll_wait: float = 2.0
     watch_wait: float = 30.0
     readers: int = 3
     fan_out: int = 8
@@ -182,7 +182,7 @@
         unit="s",
     ),
     SettingSpec(
-        default=5.0,
+        default=2.0,
         help="Time for which a parent holds a Sync call that has nothing new.",
         maximum=60.0,
         minimum=0.1,
--- a/shallotbridge/core/node.py
+++ b/shallotbridge/core/node.py
@@ -1,6 +1,7 @@
 """The node: all parts of one process, wired together."""
 
 import dataclasses
+import functools
 import time
 
 import trio
@@ -249,10 +250,8 @@
                         settings.operator_address or address,
                         settings.operator_port,
                     )
-                nursery.start_soon(self._find_configuration)
+                nursery.start_soon(self._run_distribution)
                 nursery.start_soon(self._follow_configuration)
-                nursery.start_soon(self._reader.run)
-                nursery.start_soon(self._sync_client.run)
                 nursery.start_soon(self._pauses.run)
                 nursery.start_soon(self._probe)
                 nursery.start_soon(self.metrics.run)
@@ -333,18 +332,29 @@
 
     # Configuration.
 
-    async def _find_configuration(self):
-        await startup.find_configuration(
-            own_host=self.own_host,
-            store=self.store,
-            hosts=self.hosts,
-            client=self._sync_client,
-            reader=self._reader,
-            seed_hosts=self._topology.seeds,
-            fleet_size=self._settings.fleet_size,
-            random=self._random,
-            start_wait=self._settings.start_wait,
-        )
+    async def _run_distribution(self):
+        """Find a configuration, and follow it from the first peers on.
+
+        Reader and client start only when the first peers are known, so
+        that the reads of a fleet that starts as one stay spread.
+        """
+        async with trio.open_nursery() as nursery:
+            await nursery.start(
+                functools.partial(
+                    startup.find_configuration,
+                    own_host=self.own_host,
+                    store=self.store,
+                    hosts=self.hosts,
+                    client=self._sync_client,
+                    reader=self._reader,
+                    seed_hosts=self._topology.seeds,
+                    fleet_size=self._settings.fleet_size,
+                    random=self._random,
+                    start_wait=self._settings.start_wait,
+                )
+            )
+            nursery.start_soon(self._reader.run)
+            nursery.start_soon(self._sync_client.run)
 
     async def _follow_configuration(self):
         head = (await self.store.wait_enforced()).head
--- a/shallotbridge/core/sync.py
+++ b/shallotbridge/core/sync.py
@@ -9,8 +9,10 @@
 from . import platform
 from . import store as store_module
 
-# Time for which a parent holds a call that has nothing new, seconds.
-POLL_WAIT_SECONDS = 5.0
+# Time for which a parent holds a call that has nothing new, seconds. With
+# ANSWER_SECONDS it bounds how long two silent parents (a rack that lost its
+# power) go unnoticed, which must stay below the 4 s for convergence.
+POLL_WAIT_SECONDS = 2.0
 # Longest hold that a caller may ask for, seconds.
 MAXIMUM_WAIT_SECONDS = 30.0
 MAXIMUM_HELD_CALLS = 32
--- a/tests/core/test_sync.py
+++ b/tests/core/test_sync.py
@@ -120,6 +120,8 @@
                 serve=None,
             ),
             random=random.Random(1),
+            # The second parent is silent; its call outlasts the tests.
+            poll_wait=5.0,
         )
 
     async def _sync(self, address, request, timeout):
