Tell the directory the free slots of a refusal

Cause: an owner node reports its free slots with refusals too, which the entry node dropped. Change: errors carry free; the entry passes it to on_refused.

--- a/shallotbridge/core/entry.py
+++ b/shallotbridge/core/entry.py
@@ -233,16 +233,13 @@
             elif isinstance(error, _ERRORS_OF_THE_REQUEST):
                 pass
             elif error.outcome is errors.Outcome.NOT_RUN:
-                directory.on_refused(host_id, error)
+                directory.on_refused(host_id, error, error.free)
             else:
                 directory.on_failed(host_id, error)
             raise
         finally:
             directory.on_ended(host_id)
-        free = response.header(protocol.FREE)
-        directory.on_response(
-            host_id, int(free) if free and free.isdecimal() else None
-        )
+        directory.on_response(host_id, protocol.read_free(response))
         return response
 
     def _success(self, call, response):
--- a/shallotbridge/core/errors.py
+++ b/shallotbridge/core/errors.py
@@ -180,6 +180,8 @@
     is_retry_safe = True
     # True when a connection was lost while the request was in flight.
     is_reset = False
+    # Free slots that an owner node reported with its refusal.
+    free = None
 
 
 class NoRouteError(CallError):
--- a/shallotbridge/core/forwarding.py
+++ b/shallotbridge/core/forwarding.py
@@ -155,4 +155,6 @@
             f"the answer of {host.host_id} has code {code!r} and outcome "
             f"{stated!r}, which do not belong together"
         )
-    return error_type(f"{host.host_id}: code {code}")
+    error = error_type(f"{host.host_id}: code {code}")
+    error.free = protocol.read_free(response)
+    return error
--- a/shallotbridge/core/protocol.py
+++ b/shallotbridge/core/protocol.py
@@ -105,6 +105,14 @@
     )
 
 
+def read_free(response):
+    """Return the free slots that an owner node reports, or None."""
+    value = response.header(FREE)
+    if value is not None and _NUMBER.fullmatch(value):
+        return int(value)
+    return None
+
+
 def remaining_ms(deadline, now):
     """Return the whole milliseconds until a deadline, 0 or more.
 
--- a/tests/core/test_entry.py
+++ b/tests/core/test_entry.py
@@ -25,6 +25,7 @@
 
     def __init__(self, nursery, *behaviours):
         self.lines = []
+        self.failures = []
         self.outstanding = 0
         self.tokens = 10
         self.configuration = builders.make_configuration()
@@ -97,11 +98,12 @@
     def on_response(self, host_id, free):
         assert free == self.free
 
-    def on_refused(self, host_id, error):
+    def on_refused(self, host_id, error, free):
         assert error.outcome is errors.Outcome.NOT_RUN
+        assert free == self.free
 
     def on_failed(self, host_id, error):
-        pass
+        self.failures.append(type(error))
 
     async def run(self, call, send):
         return await send(call)
@@ -201,6 +203,8 @@
         503,
     )
     assert own.code == errors.UpstreamUnreachableError.code
+    # The directory lets a key move on after this failure only.
+    assert mesh.failures == [errors.UpstreamUnreachableError]
 
 
 async def test_an_unknown_outcome_is_not_sent_to_another_host(
