Test that a crashing request is quarantined on all nodes

Cause: crash reports pass through node.py, which no test covered. Change: a test with two nodes on the mock clock. Conclusion: none.

--- a/tests/core/test_node.py
+++ b/tests/core/test_node.py
@@ -93,18 +93,18 @@
         )
         await stream.aclose()
 
-    async def _ask(self, stream, reader, key="k1", attempt=1):
+    async def _ask(self, stream, reader, key="k1", attempt=1, body=b"{}"):
+        fields = {"host": "mesh", "x-shallotbridge-attempt": str(attempt)}
+        if key is not None:
+            fields["idempotency-key"] = key
         request = model.Request(
             method="POST",
             target="/showroom/reservations",
-            headers=(
-                model.Header(name="host", value="mesh"),
-                model.Header(name="idempotency-key", value=key),
-                model.Header(
-                    name="x-shallotbridge-attempt", value=str(attempt)
-                ),
+            headers=tuple(
+                model.Header(name=name, value=value)
+                for name, value in fields.items()
             ),
-            body=b"{}",
+            body=body,
         )
         await stream.send_all(http1.encode_request(request))
         return await reader.read("POST")
@@ -187,3 +187,27 @@
         await trio.sleep(5)
         assert node.status()["version"] == expected
     await node.close()
+
+
+async def test_a_request_that_crashes_upstreams_is_quarantined_everywhere(
+    mesh, autojump_clock
+):
+    """Guards against one request that takes down upstream after upstream."""
+    mesh.publish()
+    nodes = [await mesh.start(host) for host in HOSTS]
+    for node in nodes:
+        await node.wait_enforcing()
+    statuses = []
+    for sending in range(6):
+        async with mesh.connection(HOSTS[sending % 2]) as ask:
+            response = await ask(key=None, body=b"x-crash")
+        statuses.append((response.status, outcome(response)))
+        await trio.sleep(5)
+    assert statuses[0] == (502, "unknown")
+    assert statuses[2:] == [(429, "not-run")] * 4
+    crashes = [each.crashes for each in mesh.upstreams_by_id.values()]
+    assert sum(crashes) == 2
+    async with mesh.connection(HOSTS[0]) as ask:
+        assert outcome(await ask()) == "run"
+    for node in nodes:
+        await node.close()
