Measure the hop with the real directory, routes and gate

Cause: a stub hides what choice and admission cost. Change: bench/hop.py uses OwnerDirectory, find_route, RetryBudget and UpstreamGate.

--- a/bench/hop.py
+++ b/bench/hop.py
@@ -27,13 +27,20 @@
 import trio
 
 from shallotbridge.core import decisions
+from shallotbridge.core import directory
 from shallotbridge.core import entry
 from shallotbridge.core import errors
 from shallotbridge.core import forwarding
+from shallotbridge.core import gate
+from shallotbridge.core import hosts
+from shallotbridge.core import keys
 from shallotbridge.core import model
 from shallotbridge.core import owner
 from shallotbridge.core import pool
+from shallotbridge.core import retries
+from shallotbridge.core import routing
 from shallotbridge.core import serving
+from shallotbridge.core import suspects
 from shallotbridge.transports import tcp
 
 UPSTREAM_ADDRESS = "127.7.0.2"
@@ -76,7 +83,9 @@
     return model.Configuration(
         head=model.HeadReference(version=1, digest=b"d"),
         mesh_name="bench",
-        failure_domains_by_name={},
+        failure_domains_by_name=model.by_key(
+            [model.FailureDomain(name="cairo-1", region="cairo")], "name"
+        ),
         services_by_name=model.by_key([service], "name"),
     )
 
@@ -90,33 +99,17 @@
     )
 
 
-class _Fixed:
-    """A directory with one candidate, an open gate and a full budget."""
-
-    free = 1
+class _Store:
+    """A configuration that is in force from the start."""
 
     def __init__(self):
         self.configuration = _configuration()
-        self.host = _host("owner", UPSTREAM_ADDRESS)
-        self.candidates = (self.host.host_id,)
-        self.reason = "the only candidate"
-
-    def choose(self, call, excluded):
-        if excluded:
-            raise errors.NoUpstreamError("the only host was tried")
-        return self.host, self
-
-    async def run(self, call, send):
-        return await send(call)
-
-    def ignore(self, *arguments):
-        pass
 
-    on_sent = on_response = on_refused = on_failed = on_ended = ignore
-    on_request = ignore
 
-    def try_spend(self):
-        return True
+def _hosts(host):
+    table = hosts.HostTable()
+    table.replace("cairo-1", 1, [host])
+    return table
 
 
 async def _serve_upstream():
@@ -136,28 +129,47 @@
 
 
 async def _serve_owner():
-    fixed = _Fixed()
+    host = _host("owner", UPSTREAM_ADDRESS)
+    store = _Store()
+    upstream_gate = gate.UpstreamGate(
+        own_host=host,
+        configuration=lambda: store.configuration,
+        keys=keys.KeyWindow(
+            own_host=host, hosts_of_service=_hosts(host).hosts_of_service
+        ),
+        suspects=suspects.SuspectTable(),
+    )
     server = owner.OwnerServer(
-        own_host=fixed.host,
-        store=fixed,
-        gate=fixed,
+        own_host=host,
+        store=store,
+        gate=upstream_gate,
         open_stream=tcp.open_stream,
         maximum_connections=1000,
     )
-    await tcp.serve(UPSTREAM_ADDRESS, forwarding.FORWARD_PORT, server.handle)
+    async with trio.open_nursery() as nursery:
+        upstream_gate.start(nursery)
+        await tcp.serve(
+            UPSTREAM_ADDRESS, forwarding.FORWARD_PORT, server.handle
+        )
 
 
 async def _serve_entry():
-    fixed = _Fixed()
+    own_host = _host("entry", ENTRY_ADDRESS)
+    source = random.Random(1)
+    budget = retries.RetryBudget(retry_ratio=ROUTE.retry_ratio)
     server = entry.EntryServer(
-        own_host=_host("entry", ENTRY_ADDRESS),
-        store=fixed,
-        find_route=lambda configuration, method, target: ROUTE,
-        directory=fixed,
+        own_host=own_host,
+        store=_Store(),
+        find_route=routing.find_route,
+        directory=directory.OwnerDirectory(
+            own_host=own_host,
+            hosts=_hosts(_host("owner", UPSTREAM_ADDRESS)),
+            random=source,
+        ),
         forwarder=forwarding.Forwarder(open_stream=tcp.open_stream),
         run_local=None,
-        retry_budget_of=lambda service: fixed,
-        random=random.Random(1),
+        retry_budget_of=lambda service: budget,
+        random=source,
         record=decisions.record,
     )
     await tcp.serve(ENTRY_ADDRESS, CALLER_PORT, server.handle)
