Report a node as healthy while only its upstream leaves

Cause: such a node still serves callers as entry node. Change: /healthz looks at the node's own leaving state. Conclusion: none.

--- a/shallotbridge/operator/server.py
+++ b/shallotbridge/operator/server.py
@@ -38,7 +38,7 @@
     async def health():
         found = read_status()
         reason = "ok"
-        if found["leaving"]:
+        if found["node_leaving"]:
             reason = "leaving"
         elif not found["enforcing"]:
             reason = "no configuration in force"
--- a/tests/operator/test_server.py
+++ b/tests/operator/test_server.py
@@ -8,9 +8,9 @@
 @pytest.mark.parametrize(
     ("status", "code"),
     [
-        ({"enforcing": True, "leaving": False}, 200),
-        ({"enforcing": False, "leaving": False}, 503),
-        ({"enforcing": True, "leaving": True}, 503),
+        ({"enforcing": True, "node_leaving": False}, 200),
+        ({"enforcing": False, "node_leaving": False}, 503),
+        ({"enforcing": True, "node_leaving": True}, 503),
     ],
 )
 async def test_health_is_ok_only_while_the_node_serves(status, code):
