--- a/bench/demo.py
+++ b/bench/demo.py
@@ -22,8 +22,8 @@
 CONVERGENCE_SECONDS = 4.0
 OUT_DOMAIN = "cairo-2"
 DOMAINS = ("cairo-1", "cairo-2")
-CALLERS = 12
-CALLER_INTERVAL = 0.15
+CALLERS = 20
+CALLER_INTERVAL = 0.1  # s, mean
 SAMPLE_SECONDS = 0.2
 # Fixed, so that two runs send the same mix; processes still differ.
 RANDOM_SEED = 7
