--- a/shallotbridge/cli/node.py
+++ b/shallotbridge/cli/node.py
@@ -11,11 +11,7 @@
 from ..core import errors
 from ..core import settings as core_settings
 
-EXIT_STOPPED = 0
-EXIT_FAILED = 1
 EXIT_SETTINGS = 2
-EXIT_INTERRUPTED = 3
-EXIT_CANNOT_LISTEN = 4
 
 _HELP = """Run the node of this host until it is told to stop.
 
