Tell the next owners of keys whose outcome is unknown

Cause: when an owner node died with a keyed request in flight, the next owner took an unmarked repetition for a first sending, and the request ran twice. A lookup could not find the key, since only the dead owner had it. Change: the entry node tells the next owners before it answers 'outcome unknown'; a node that is entry and owner at once announces the key when it sends the call, and retracts it if the call did not run.

--- a/shallotbridge/core/entry.py
+++ b/shallotbridge/core/entry.py
@@ -7,6 +7,7 @@
 from . import decisions
 from . import errors
 from . import http1
+from . import keys as key_window
 from . import model
 from . import protocol
 from . import serving
@@ -44,6 +45,8 @@
         ``retry_budget_of(service_name)`` returns a ``RetryBudget``.
     random : random.Random
         Makes request ids.
+    report_unknown : callable, optional
+        ``report_unknown`` of ``key_hints.KeyHints``.
     wait_fresh : callable, optional
         ``await wait_fresh()`` returns once the node's knowledge is fresh
         after a pause of the process.
@@ -65,6 +68,7 @@
         run_local,
         retry_budget_of,
         random,
+        report_unknown=None,
         wait_fresh=None,
         on_answered=lambda error, seconds, upstream_seconds: None,
         record=decisions.record,
@@ -77,6 +81,7 @@
         self._run_local = run_local
         self._retry_budget_of = retry_budget_of
         self._random = random
+        self._report_unknown = report_unknown
         self._wait_fresh = wait_fresh
         self._on_answered = on_answered
         self._record = record
@@ -215,8 +220,23 @@
             else:
                 trace.end(outcome=errors.Outcome.RUN)
                 return response
+        if unknown_error is not None:
+            await self._report_key(call, host, unknown_error)
         raise unknown_error or last_error
 
+    async def _report_key(self, call, owner, error):
+        """Tell the next owners of a key before the caller can repeat it.
+
+        An owner that reported the failure, or is this node, remembers it.
+        """
+        if (
+            self._report_unknown is not None
+            and key_window.needs_key_check(call)
+            and not error.is_reported
+            and owner.host_id != self._own_host.host_id
+        ):
+            await self._report_unknown(call, owner)
+
     async def _attempt(self, host, call):
         """Send a call to one owner node and tell the directory."""
         directory = self._directory
--- a/shallotbridge/core/errors.py
+++ b/shallotbridge/core/errors.py
@@ -176,6 +176,8 @@
     code = "SB-3000"
     status = 503
     outcome = Outcome.NOT_RUN
+    # True when the owner node itself reported the failure, and so knows it.
+    is_reported = False
     # True when the same request may be sent again without any risk.
     is_retry_safe = True
     # True when a connection was lost while the request was in flight.
--- a/shallotbridge/core/keys.py
+++ b/shallotbridge/core/keys.py
@@ -424,6 +424,23 @@
         self._drop_old()
         self._drop_excess()
 
+    def take_hint(self, key, is_retracted=False):
+        """Enter a key that another owner sent, or remove it again.
+
+        Parameters
+        ----------
+        key : bytes
+        is_retracted : bool
+            The request did not run after all. A key that this owner started
+            itself stays.
+        """
+        if not is_retracted:
+            self.take_over([key], [0.0])
+            return
+        entry = self._entries_by_key.get(key)
+        if entry is not None and entry.request_digest is None:
+            self.forget(key)
+
     def entries(self):
         """Return all remembered keys with their ages.
 
--- a/shallotbridge/core/node.py
+++ b/shallotbridge/core/node.py
@@ -16,6 +16,7 @@
 from . import forwarding
 from . import gate
 from . import hosts
+from . import key_hints
 from . import keys
 from . import metrics as metrics_module
 from . import model
@@ -180,6 +181,13 @@
         self._forwarder = forwarding.Forwarder(
             open_stream=network.open_stream, port=settings.forward_port
         )
+        hints = key_hints.make_key_hints(
+            own_host=self.own_host,
+            hosts_of_service=self.hosts.hosts_of_service,
+            take_hint=self._keys.take_hint,
+            send=self._send_key_hint,
+            spawn=self._spawn,
+        )
         self._owner = owner.OwnerServer(
             own_host=self.own_host,
             store=self.store,
@@ -187,6 +195,7 @@
             open_stream=network.open_stream,
             maximum_connections=MAXIMUM_UPSTREAM_CONNECTIONS,
             upstream_port=settings.upstream_port,
+            key_hints=hints,
             wait_fresh=self._pauses.wait_fresh,
         )
         self._entry = entry.EntryServer(
@@ -198,6 +207,7 @@
             run_local=self._owner.run_local,
             retry_budget_of=self._retry_budget_of,
             random=self._random,
+            report_unknown=hints.report_unknown,
             wait_fresh=self._pauses.wait_fresh,
             on_answered=self._on_answered,
             record=self._record_routing,
@@ -457,7 +467,12 @@
         return answer
 
     async def _take_hand_over(self, message):
-        if self._is_of_own_service(message):
+        if not self._is_of_own_service(message):
+            return
+        if message.is_retracted:
+            for key in message.keys:
+                self._keys.take_hint(key, is_retracted=True)
+        else:
             pairs = list(zip(message.keys, message.ages_ms))
             self._keys.take_over(
                 [key for key, _ in pairs],
@@ -535,6 +550,21 @@
             if host.host_id != self.own_host.host_id
         ]
 
+    def _spawn(self, function, *arguments):
+        self._nursery.start_soon(function, *arguments)
+
+    async def _send_key_hint(
+        self, host, service_name, key, is_retracted, timeout
+    ):
+        message = peer_pb2.KeyHandOver(
+            sender=self.own_host.host_id,
+            service=service_name,
+            keys=[key],
+            ages_ms=[0],
+            is_retracted=is_retracted,
+        )
+        await self._peers.hand_over(host.address, message, timeout)
+
     async def _hand_over_keys(self):
         async with trio.open_nursery() as nursery:
             for host_id, entries in self._keys.plan_hand_over().items():
--- a/shallotbridge/core/owner.py
+++ b/shallotbridge/core/owner.py
@@ -6,6 +6,7 @@
 
 from . import errors
 from . import http1
+from . import keys
 from . import model
 from . import pool
 from . import protocol
@@ -34,6 +35,8 @@
     maximum_connections : int
         Connections to the upstream that may be open at the same time.
     upstream_port : int
+    key_hints : key_hints.KeyHints, optional
+        For calls of this node itself.
     wait_fresh : callable, optional
         ``await wait_fresh()`` returns once the node's knowledge is fresh
         after a pause of the process.
@@ -48,11 +51,13 @@
         open_stream,
         maximum_connections,
         upstream_port=UPSTREAM_PORT,
+        key_hints=None,
         wait_fresh=None,
     ):
         self._own_host = own_host
         self._store = store
         self._gate = gate
+        self._key_hints = key_hints
         self._wait_fresh = wait_fresh
         self._pool = pool.ConnectionPool(
             open_stream=open_stream,
@@ -98,7 +103,10 @@
         ------
         errors.CallError
         """
-        response = await self._gate.run(call, self._send)
+        return await self._run(call, self._send_announced)
+
+    async def _run(self, call, send):
+        response = await self._gate.run(call, send)
         return dataclasses.replace(
             response,
             headers=(
@@ -107,6 +115,21 @@
             ),
         )
 
+    async def _send_announced(self, call):
+        """Send a call of this node itself.
+
+        No other node would know that the call was sent, if this one died.
+        """
+        if self._key_hints is None or not keys.needs_key_check(call):
+            return await self._send(call)
+        announced = self._key_hints.announce(call)
+        try:
+            return await self._send(call)
+        except errors.CallError as error:
+            if error.outcome is errors.Outcome.NOT_RUN:
+                self._key_hints.retract(call, announced)
+            raise
+
     async def _send(self, call):
         """Send an admitted call to the upstream."""
         request = model.Request(
@@ -144,7 +167,7 @@
             if self._wait_fresh is not None:
                 await self._wait_fresh()
             call = self._call_of(request, request_id)
-            response = await self.run_local(call)
+            response = await self._run(call, self._send)
         except errors.CallError as error:
             return self._failure(error, request_id), _nothing
         headers = (
--- a/tests/core/test_node.py
+++ b/tests/core/test_node.py
@@ -9,12 +9,15 @@
 import trio.testing
 
 from shallotbridge._generated import settings as generated
+from shallotbridge.core import errors
 from shallotbridge.core import http1
+from shallotbridge.core import keys
 from shallotbridge.core import model
 from shallotbridge.core import node as node_module
 from standins import platform as platform_standin
 from standins import upstream as upstream_standin
 from tests import builders
+from tests.core import gates
 from tests.golden import memory_network
 from tests import memory
 
@@ -77,6 +80,10 @@
         await node.start(self._nursery)
         return node
 
+    def reset(self, host):
+        """End the connections of a host, as when its process is killed."""
+        self._fabric.reset_host(host.address)
+
     def runs(self):
         return [
             count
@@ -211,3 +218,47 @@
         assert outcome(await ask()) == "run"
     for node in nodes:
         await node.close()
+
+
+def key_owned_by(host):
+    """Return an idempotency key whose first owner is a host."""
+    for number in range(100):
+        call = gates.make_call(
+            route=builders.make_reserve_route(), key=f"key-{number}"
+        )
+        if keys.key_order(keys.scoped_key(call), HOSTS)[0] == host:
+            return call.idempotency_key
+    raise AssertionError(f"{host.host_id} owns none of 100 keys")
+
+
+@pytest.mark.parametrize("entry", HOSTS, ids=["local", "forwarded"])
+async def test_a_key_whose_owner_dies_does_not_run_again(
+    mesh, autojump_clock, entry
+):
+    """Guards against a second run by a caller that marks no repetition."""
+    mesh.publish()
+    nodes_by_id = {host.host_id: await mesh.start(host) for host in HOSTS}
+    for node in nodes_by_id.values():
+        await node.wait_enforcing()
+    owner, other = HOSTS
+    key = key_owned_by(owner)
+
+    async def lose_owner():
+        while not mesh.runs():
+            await trio.sleep(0.001)
+        mesh.reset(owner)
+        await nodes_by_id[owner.host_id].close()
+
+    async with mesh.connection(entry) as ask:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lose_owner)
+            try:
+                first = outcome(await ask(key=key))
+            except errors.CallError:
+                # The caller's connection ended with its node.
+                first = "unknown"
+    async with mesh.connection(other) as ask:
+        repetition = await ask(key=key)
+    assert (first, repetition.status) == ("unknown", 409)
+    assert mesh.runs() == [1]
+    await nodes_by_id[other.host_id].close()
