--- a/shallotbridge/core/errors.py
+++ b/shallotbridge/core/errors.py
@@ -15,6 +15,15 @@
     UNKNOWN = "unknown"
 
 
+class RefusalReason(enum.StrEnum):
+    """Values of ``x-refused`` with which an upstream refuses a request."""
+
+    OVERLOADED = "overloaded"
+    COLD = "cold"
+    LEAVING = "leaving"
+    DEADLINE = "deadline"
+
+
 class ShallotbridgeError(Exception):
     """Base of all failures of this package.
 
@@ -282,13 +291,13 @@
     ----------
     detail : str
     reason : str
-        Value of the upstream's ``x-refused`` header: ``overloaded``,
-        ``cold``, ``leaving`` or ``deadline``.
+        Value of the upstream's ``x-refused`` header, usually one of
+        ``RefusalReason``.
     """
 
     code = "SB-3014"
 
-    def __init__(self, detail="", *, reason="overloaded"):
+    def __init__(self, detail="", *, reason=RefusalReason.OVERLOADED):
         super().__init__(detail)
         self.reason = reason
 
--- a/shallotbridge/core/owner.py
+++ b/shallotbridge/core/owner.py
@@ -13,7 +13,7 @@
 
 UPSTREAM_PORT = 8080
 REFUSED = "x-refused"
-REFUSAL_REASONS = frozenset({"overloaded", "cold", "leaving", "deadline"})
+REFUSAL_REASONS = frozenset(errors.RefusalReason)
 _UPSTREAM_REQUEST_ID = "x-request-id"
 _UPSTREAM_DEADLINE = "x-deadline-ms"
 _REPLACED_NAMES = frozenset({_UPSTREAM_REQUEST_ID, _UPSTREAM_DEADLINE})
@@ -120,11 +120,10 @@
         microseconds = round((trio.current_time() - started) * 1e6)
         reason = response.header(REFUSED)
         if response.status == 503 and reason in REFUSAL_REASONS:
-            error = errors.UpstreamRefusedError(
-                f"the upstream of {self._own_host.host_id} refused: {reason}"
+            raise errors.UpstreamRefusedError(
+                f"the upstream of {self._own_host.host_id} refused: {reason}",
+                reason=reason,
             )
-            error.reason = reason
-            raise error
         return dataclasses.replace(
             response,
             headers=(
--- a/shallotbridge/core/probes.py
+++ b/shallotbridge/core/probes.py
@@ -1,5 +1,6 @@
 """Hints of the own upstream's health and load endpoints."""
 
+import enum
 import json
 
 import trio
@@ -8,10 +9,20 @@
 
 INTERVAL_SECONDS = 1.0
 TIMEOUT_SECONDS = 0.5
-KNOWN_STATES = ("ok", "starting", "leaving")
 MAXIMUM_INSTANCE_CHARACTERS = 200
 
 
+class HealthState(enum.StrEnum):
+    """States that the upstream's health endpoint reports."""
+
+    OK = "ok"
+    STARTING = "starting"
+    LEAVING = "leaving"
+
+
+_KNOWN_STATES = tuple(HealthState)
+
+
 async def read_health(fetch, timeout=TIMEOUT_SECONDS):
     """Ask the upstream for its state.
 
@@ -35,7 +46,7 @@
         len(instance_id) > MAXIMUM_INSTANCE_CHARACTERS
     ):
         instance_id = None
-    return state if state in KNOWN_STATES else None, instance_id
+    return state if state in _KNOWN_STATES else None, instance_id
 
 
 async def read_load(fetch, timeout=TIMEOUT_SECONDS):
--- a/tests/core/test_gate.py
+++ b/tests/core/test_gate.py
@@ -9,7 +9,7 @@
 import trio.testing
 
 from shallotbridge.core import errors
-from shallotbridge.core import gate
+from shallotbridge.core import slots
 from tests import builders
 from tests.core import gates
 
@@ -146,7 +146,7 @@
     with trio.move_on_after(0.01):
         await tested.run(gates.make_call(1), _answer)
     assert tested.free == 0
-    await trio.sleep(gate.CANCELLATION_GRACE_SECONDS + 0.01)
+    await trio.sleep(slots.CANCELLATION_GRACE_SECONDS + 0.01)
     assert tested.free == 1
 
 
