Move the token bucket and the backoff into a module

Cause: core/sync.py imported core/platform.py only for backoff_seconds. Conclusion: the modules for platform and peers no longer depend on each other.

--- a/shallotbridge/core/platform.py
+++ b/shallotbridge/core/platform.py
@@ -11,6 +11,7 @@
 from . import errors
 from . import hosts as hosts_module
 from . import model
+from . import pacing
 from . import parts
 from ..transports import network
 
@@ -34,62 +35,6 @@
 _HTTP_TOO_MANY = 429
 
 
-class TokenBucket:
-    """Limits the rate of calls.
-
-    Parameters
-    ----------
-    rate : float
-        Calls a second on average.
-    burst : int
-        Calls that may be made at once.
-    """
-
-    def __init__(self, *, rate, burst):
-        self._rate = rate
-        self._burst = burst
-        self._tokens = float(burst)
-        self._filled_at = None
-
-    async def take(self):
-        """Wait for a token and take it."""
-        while True:
-            now = trio.current_time()
-            if self._filled_at is not None:
-                elapsed = now - self._filled_at
-                self._tokens = min(
-                    float(self._burst), self._tokens + elapsed * self._rate
-                )
-            self._filled_at = now
-            if self._tokens >= 1:
-                self._tokens -= 1
-                return
-            # The margin keeps rounding from causing a second, empty wait.
-            await trio.sleep((1 - self._tokens) / self._rate + 1e-6)
-
-
-def backoff_seconds(random, failures, *, first, maximum):
-    """Return a wait with full jitter after a number of failures.
-
-    Parameters
-    ----------
-    random : random.Random
-    failures : int
-        Consecutive failures, from 1.
-    first, maximum : float
-        Bounds of the longest wait, seconds.
-
-    Examples
-    --------
-    >>> import random
-    >>> source = random.Random(1)
-    >>> backoff_seconds(source, 90, first=0.5, maximum=30.0) <= 30.0
-    True
-    """
-    doublings = min(failures - 1, 32)
-    return random.uniform(0.0, min(maximum, first * 2**doublings))
-
-
 class PlatformReader:
     """Keeps a store and a host table up to date from the platform.
 
@@ -138,8 +83,10 @@
         self._topology = topology
         self._failure_domain = failure_domain
         self._watch_wait = watch_wait
-        self._bucket = TokenBucket(rate=calls_per_second, burst=call_burst)
-        self._bundle_bucket = TokenBucket(
+        self._bucket = pacing.TokenBucket(
+            rate=calls_per_second, burst=call_burst
+        )
+        self._bundle_bucket = pacing.TokenBucket(
             rate=BUNDLES_PER_SECOND, burst=BUNDLE_BURST
         )
         self._revision = 0
@@ -215,7 +162,7 @@
         while True:
             wait = self._watch_wait
             if failures:
-                wait = backoff_seconds(
+                wait = pacing.backoff_seconds(
                     self._random,
                     failures,
                     first=BACKOFF_FIRST_SECONDS,
@@ -232,7 +179,7 @@
                 failures += 1
                 self._record_failure(error)
                 await trio.sleep(
-                    backoff_seconds(
+                    pacing.backoff_seconds(
                         self._random,
                         failures,
                         first=BACKOFF_FIRST_SECONDS,
--- a/shallotbridge/core/sync.py
+++ b/shallotbridge/core/sync.py
@@ -6,7 +6,7 @@
 from . import decisions
 from . import errors
 from . import model
-from . import platform
+from . import pacing
 from . import store as store_module
 
 # Time for which a parent holds a call that has nothing new, seconds. With
@@ -420,7 +420,7 @@
                     if elapsed < timeout + PAUSE_SECONDS:
                         self._suspect(parent, error)
                     await trio.sleep(
-                        platform.backoff_seconds(
+                        pacing.backoff_seconds(
                             self._random,
                             failures,
                             first=BACKOFF_FIRST_SECONDS,
