--- a/shallotbridge/core/owner.py
+++ b/shallotbridge/core/owner.py
@@ -13,8 +13,6 @@
 from . import serving
 
 UPSTREAM_PORT = 8080
-REFUSED = "x-refused"
-REFUSAL_REASONS = frozenset({"overloaded", "cold", "leaving", "deadline"})
 _UPSTREAM_REQUEST_ID = "x-request-id"
 _UPSTREAM_DEADLINE = "x-deadline-ms"
 _REPLACED_NAMES = frozenset({_UPSTREAM_REQUEST_ID, _UPSTREAM_DEADLINE})
@@ -141,13 +139,7 @@
         started = trio.current_time()
         response = await self._pool.exchange(request, call.deadline)
         microseconds = round((trio.current_time() - started) * 1e6)
-        reason = response.header(REFUSED)
-        if response.status == 503 and reason in REFUSAL_REASONS:
-            error = errors.UpstreamRefusedError(
-                f"the upstream of {self._own_host.host_id} refused: {reason}"
-            )
-            error.reason = reason
-            raise error
+        protocol.check_refusal(response, self._own_host)
         return dataclasses.replace(
             response,
             headers=(
--- a/shallotbridge/core/protocol.py
+++ b/shallotbridge/core/protocol.py
@@ -22,6 +22,10 @@
 # microseconds; between nodes only.
 UPSTREAM_TIME = PREFIX + "upstream-us"
 IDEMPOTENCY_KEY = "idempotency-key"
+# Of upstreams.
+REFUSED = "x-refused"
+REFUSAL_STATUS = 503
+REFUSAL_REASONS = frozenset(errors.RefusalReason)
 
 MAXIMUM_DEADLINE_MS = 3_600_000
 MAXIMUM_ATTEMPT = 1000
@@ -47,6 +51,29 @@
     return values[0] if values else None
 
 
+def check_refusal(response, host):
+    """Raise if an upstream's answer guarantees that it did not run.
+
+    An unknown reason guarantees nothing, so such an answer is an ordinary
+    one.
+
+    Parameters
+    ----------
+    response : model.Response
+    host : model.Host
+        Of the upstream.
+
+    Raises
+    ------
+    errors.UpstreamRefusedError
+    """
+    reason = response.header(REFUSED)
+    if response.status == REFUSAL_STATUS and reason in REFUSAL_REASONS:
+        raise errors.UpstreamRefusedError(
+            f"the upstream of {host.host_id} refused: {reason}", reason=reason
+        )
+
+
 def read_number(request, name, *, minimum, maximum, default):
     """Return the number that a header carries.
 
--- a/tests/core/test_owner.py
+++ b/tests/core/test_owner.py
@@ -10,6 +10,7 @@
 from shallotbridge.core import http1
 from shallotbridge.core import model
 from shallotbridge.core import owner
+from shallotbridge.core import protocol
 from tests import builders
 from tests.core import streams
 
@@ -153,3 +154,17 @@
     else:
         assert (await server.run_local(call)).status == 503
     assert reasons == ([reason] if is_refusal else [])
+
+
+def test_an_unknown_refusal_guarantees_nothing():
+    """Guards against "not run" for a request that may have run (P7)."""
+
+    def check(status, reason):
+        header = model.Header(name=protocol.REFUSED, value=reason)
+        response = model.Response(status=status, headers=(header,))
+        protocol.check_refusal(response, builders.make_host())
+
+    check(503, "maintenance")
+    check(200, "overloaded")
+    with pytest.raises(errors.UpstreamRefusedError):
+        check(503, "overloaded")
