--- a/bench/processes.py
+++ b/bench/processes.py
@@ -71,9 +71,11 @@
     def __exit__(self, *exception):
         self.close()
 
-    def start(self, name, arguments, *, environment=None):
+    def start(self, name, arguments, *, command=None, environment=None):
         """Start a Python module with arguments; output goes to a file.
 
+        A ``command`` is started in place of Python and the module.
+
         Raises
         ------
         ProcessError
@@ -86,7 +88,7 @@
         log = (self.directory / f"{name}.log").open("ab")
         with log:
             self._processes_by_name[name] = subprocess.Popen(
-                [sys.executable, "-m", *arguments],
+                [*(command or (sys.executable, "-m")), *arguments],
                 cwd=ROOT,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
@@ -202,7 +204,16 @@
     return get_json(f"http://{address}:{OPERATOR_PORT}/status")
 
 
-def start_node(processes, host, *, platform_url, seeds=(), **settings):
+def start_node(
+    processes,
+    host,
+    *,
+    platform_url,
+    seeds=(),
+    command=(sys.executable, "-m", "shallotbridge"),
+    environment=None,
+    **settings,
+):
     """Start the node of a host.
 
     Parameters
@@ -212,6 +223,10 @@
     platform_url : str
     seeds : iterable of str
         Addresses of peers.
+    command : sequence of str
+        What runs shallotbridge.
+    environment : mapping of str to str, optional
+        Variables besides those of this process.
     **settings
         Further settings by name.
 
@@ -233,7 +248,9 @@
         f"--{key.replace('_', '-')}={value}"
         for key, value in flags_by_name.items()
     ]
-    processes.start(name, ["shallotbridge", "node", *arguments])
+    processes.start(
+        name, ["node", *arguments], command=command, environment=environment
+    )
     return name
 
 
