Leave unused files and symbols out of the binary

Cause: the node of the target's state takes more than 128 MB. Change: tools/binary.py removes tests, type stubs, C and Cython sources, benchmarks and bills of materials from the file and strips shared objects.

--- a/tools/binary.py
+++ b/tools/binary.py
@@ -13,6 +13,7 @@
 import sys
 import tempfile
 import time
+import zipfile
 
 import psutil
 
@@ -29,6 +30,9 @@
     "pygments",
     "rich",
 )
+# Parts of paths in the file that no command reads.
+_UNUSED_DIRECTORIES = ("/tests/", "/_tests/", "/benchmarks/", "/sboms/")
+_UNUSED_SUFFIXES = (".pyi", ".pyx", ".pxd", ".c", ".h")
 
 
 def build(output):
@@ -66,6 +70,46 @@
             ],
             check=True,
         )
+        _reduce(output, pathlib.Path(directory))
+
+
+def _reduce(output, directory):
+    """Remove unused files from the binary, and symbols from libraries."""
+    reduced = directory / "reduced"
+    library = directory / "library.so"
+    with zipfile.ZipFile(output) as source, reduced.open("wb") as target:
+        first = min(entry.header_offset for entry in source.infolist())
+        # What precedes the archive is the line that names the interpreter.
+        target.write(output.read_bytes()[:first])
+        with zipfile.ZipFile(target, "a", zipfile.ZIP_DEFLATED) as result:
+            for entry in source.infolist():
+                content = source.read(entry)
+                if _is_unused(entry.filename):
+                    continue
+                if entry.filename.endswith(".so"):
+                    library.write_bytes(content)
+                    subprocess.run(
+                        ["strip", "--strip-unneeded", library], check=True
+                    )
+                    content = library.read_bytes()
+                if entry.filename.endswith(".dist-info/RECORD"):
+                    content = _reduce_record(content)
+                result.writestr(entry, content)
+    reduced.chmod(output.stat().st_mode)
+    shutil.move(reduced, output)
+
+
+def _reduce_record(content):
+    """Remove the unused files, of which pex would warn at each start."""
+    lines = content.decode().splitlines(keepends=True)
+    kept = [line for line in lines if not _is_unused(line.split(",")[0])]
+    return "".join(kept).encode()
+
+
+def _is_unused(name):
+    return name.endswith(_UNUSED_SUFFIXES) or any(
+        part in name for part in _UNUSED_DIRECTORIES
+    )
 
 
 def measure(binary):
