Give the shared data classes slots

Cause: 7,200 hosts and 5,280 routes each had a dict of attributes. Change: core/model.py uses slots; Configuration keeps its weak reference.

--- a/shallotbridge/core/model.py
+++ b/shallotbridge/core/model.py
@@ -5,7 +5,7 @@
 import typing
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, order=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, order=True, slots=True)
 class HeadReference:
     """Number and content digest of a version; heads are ordered by both.
 
@@ -22,7 +22,7 @@
 NO_HEAD = HeadReference(version=0, digest=b"")
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class FailureDomain:
     """A group of hosts that is taken out of service as one."""
 
@@ -31,7 +31,7 @@
     in_service: bool = True
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class UpstreamLimits:
     """What one upstream of a service can bear."""
 
@@ -43,7 +43,7 @@
     queue: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Route:
     """One kind of request and the promises made for it."""
 
@@ -57,7 +57,7 @@
     depends_on: tuple[str, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Service:
     """A named group of upstreams and the routes that they answer."""
 
@@ -66,7 +66,10 @@
     routes_by_name: typing.Mapping[str, Route]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
+# The index of routes holds a weak reference to its configuration.
+@dataclasses.dataclass(
+    frozen=True, kw_only=True, slots=True, weakref_slot=True
+)
 class Configuration:
     """One accepted configuration, whole and checked."""
 
@@ -81,7 +84,7 @@
         return found is not None and found.in_service
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Host:
     """One entry of the platform's host list."""
 
@@ -92,7 +95,7 @@
     is_leaving: bool = False
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Header:
     """One header field; the name is in lower case."""
 
@@ -100,7 +103,7 @@
     value: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Request:
     """A complete request as it came from a caller or another node."""
 
@@ -114,7 +117,7 @@
         return _first_value(self.headers, name)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Response:
     """A complete answer."""
 
@@ -127,7 +130,7 @@
         return _first_value(self.headers, name)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Call:
     """A request with all that a node knows of it.
 
