Load certificates only for a platform with TLS

Cause: httpx loads all certificates also for an http: URL. Change: core/platform.py turns verification off for http: URLs only.

--- a/shallotbridge/core/platform.py
+++ b/shallotbridge/core/platform.py
@@ -433,7 +433,10 @@
     """
     base = url.rstrip("/")
     if client is None:
-        client = httpx.AsyncClient(trust_env=False)
+        # Certificates are loaded only for a URL that needs them.
+        client = httpx.AsyncClient(
+            trust_env=False, verify=not base.startswith("http:")
+        )
 
     async def read(key):
         return await _get(client, f"{base}/v1/values/{key}", {}, 0.0)
