--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,467 @@
+"""A fleet of node processes for measurements, and what they have in common."""
+
+import collections
+import dataclasses
+import json
+import re
+import subprocess
+import time
+
+import httpx
+import psutil
+
+from shallotbridge.core import build as build_module
+from shallotbridge.core import model
+from shallotbridge.core import parts
+from shallotbridge.core import topology
+
+from . import processes
+
+PEER_PORT = 7402
+NODES_STARTED_AT_ONCE = 24
+# Suspicions last 30 s and may be renewed once.
+SETTLE_SECONDS = 120.0
+ROUTES_PER_SERVICE = 9
+HOSTS_PER_OCTET = 200
+# Header bytes of IPv4 and TCP with time stamps, a segment.
+SEGMENT_HEADER_BYTES = 52
+# The change rate of section 2.5 of the design page.
+CHANGES_PER_DAY = 4400
+SECONDS_PER_DAY = 86400.0
+_MARKS = (b"shallotbridge:configuration_applied", b"shallotbridge:enforcement")
+_SOCKET_BYTES = re.compile(
+    r"bytes_acked:(\d+)|bytes_received:(\d+)|segs_out:(\d+)|segs_in:(\d+)"
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Options:
+    """What all measurements are given."""
+
+    running: processes.Processes
+    prefix: str
+    octet: int
+    seed: int
+    is_quick: bool
+
+    def address(self, domain, place):
+        """Return the address of a host in a domain; 0 and 1: the platform."""
+        return f"{self.prefix}.{self.octet + domain}.{place}"
+
+
+def percentile(values, share):
+    """Return the value below which a share of the values lies."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
+
+
+def spread_hosts(options, domains, services, per_domain):
+    """Return hosts, with the services in turn, for each failure domain."""
+    return [
+        processes.HostPlan(
+            host_id=f"{domain}-{place}",
+            address=options.address(number, place + 1),
+            service=services[(place * len(domains) + number) % len(services)],
+            failure_domain=domain,
+        )
+        for number, domain in enumerate(domains, start=1)
+        for place in range(per_domain)
+    ]
+
+
+def make_configuration(domains, services, *, change=0, **limits):
+    """Return a configuration of generated services.
+
+    Parameters
+    ----------
+    domains : sequence of str
+    services : sequence of str
+    change : int
+        Number of changes so far; each changes the deadline of one service.
+    **limits
+        Changes to the limits of all upstreams.
+    """
+    upstream = dataclasses.replace(
+        model.UpstreamLimits(
+            failure_domains=tuple(domains),
+            slots=100,
+            connections=200,
+            cold_slots=100,
+            ramp_seconds=1.0,
+            queue=20,
+        ),
+        **limits,
+    )
+    found = []
+    for number, name in enumerate(services):
+        changes = change // len(services) + (number < change % len(services))
+        routes = [
+            model.Route(
+                name=f"operation-{route}",
+                service=name,
+                method="GET" if route % 2 else "POST",
+                path=f"/{name}/collection-{route}/{{item}}",
+                is_idempotent=bool(route % 2),
+                deadline_seconds=1.0 + changes / 1000,
+                retry_ratio=0.1,
+                depends_on=(services[(number + 1) % len(services)],),
+            )
+            for route in range(ROUTES_PER_SERVICE)
+        ]
+        found.append(
+            model.Service(
+                name=name,
+                upstream=upstream,
+                routes_by_name=model.by_key(routes, "name"),
+            )
+        )
+    return model.Configuration(
+        head=model.NO_HEAD,
+        mesh_name="bench",
+        failure_domains_by_name=model.by_key(
+            [
+                model.FailureDomain(name=name, region=f"r{index % 3}")
+                for index, name in enumerate(domains)
+            ],
+            "name",
+        ),
+        services_by_name=model.by_key(found, "name"),
+    )
+
+
+class Fleet:
+    """Platform, upstreams and nodes of one measurement; a context.
+
+    Parameters
+    ----------
+    options : Options
+    hosts : sequence of processes.HostPlan
+    services : sequence of str
+        Services of the generated configuration.
+    variant : str
+        Name of a variant of ``bench.variants``, or empty.
+    **settings
+        Settings of all nodes.
+    """
+
+    def __init__(self, *, options, hosts, services, variant="", **settings):
+        self.running = options.running
+        self.hosts = hosts
+        self.domains = sorted({host.failure_domain for host in hosts})
+        self.services = services
+        self.platform = processes.PlatformPlan(address=options.address(0, 1))
+        self.build = None
+        self.change_count = 0
+        self._module = (
+            ("bench.variants", variant)
+            if variant
+            else ("shallotbridge", "node")
+        )
+        self._settings = settings
+        self._names = []
+        self._offsets_by_id = collections.Counter()
+        self._times_by_id = collections.defaultdict(dict)
+        self._published_keys = set()
+        self._client = httpx.Client(trust_env=False, timeout=30.0)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exception):
+        self.close()
+
+    def close(self):
+        """End the processes of this fleet."""
+        self._client.close()
+        for name in self._names:
+            if self.running.is_running(name):
+                self.running.process(name).kill()
+        for name in self._names:
+            self.running.wait(name)
+        for host in self.hosts:
+            self._log_path(host).unlink(missing_ok=True)
+
+    # Start.
+
+    def start_platform(self):
+        """Start the platform with host lists and a first version."""
+        processes.start_platform(self.running, self.platform)
+        self._names.append("platform")
+        self.platform.publish_hosts(self.hosts)
+        self.publish()
+
+    def start_upstreams(self, **options):
+        """Start one process that serves the upstreams of all hosts."""
+        flags = [f"--address={host.address}" for host in self.hosts]
+        flags += [
+            f"--{key.replace('_', '-')}={value}"
+            for key, value in options.items()
+        ]
+        self.running.start(
+            "upstreams", ["standins.upstream", "--warm", *flags]
+        )
+        self._names.append("upstreams")
+        processes.wait_answer(
+            self.running,
+            "upstreams",
+            lambda: processes.upstream_record(self.hosts[-1]),
+        )
+
+    def start_node(self, host, **settings):
+        """Start the node of a host; two other hosts are its seeds."""
+        index = self.hosts.index(host)
+        seeds = [
+            self.hosts[(index + step) % len(self.hosts)].address
+            for step in (1, 2)
+        ]
+        name = processes.start_node(
+            self.running,
+            host,
+            platform_url=self.platform.url,
+            module=self._module,
+            **{
+                "seeds": seeds,
+                "fleet_size": len(self.hosts),
+                "log_file": self._log_path(host),
+            }
+            | self._settings
+            | settings,
+        )
+        if name not in self._names:
+            self._names.append(name)
+
+    def start_nodes(self):
+        """Start all nodes, some at a time, and wait until they enforce."""
+        for first in range(0, len(self.hosts), NODES_STARTED_AT_ONCE):
+            batch = self.hosts[first : first + NODES_STARTED_AT_ONCE]
+            for host in batch:
+                self.start_node(host)
+            self.wait_in_force(self.version, batch)
+
+    def wait_settled(self, readers=topology.READERS):
+        """Wait until each domain has its number of readers.
+
+        Nodes that start together find others not yet listening and suspect
+        them for a while, so more of them read the platform.
+        """
+        wanted = sum(
+            min(readers, len(self.positions(domain)))
+            for domain in self.domains
+        )
+        processes.wait_until(
+            lambda: self._reader_count() == wanted,
+            description=f"{wanted} readers",
+            timeout=SETTLE_SECONDS,
+        )
+
+    def _reader_count(self):
+        return sum(
+            processes.node_status(host.address)["is_reader"]
+            for host in self.hosts
+        )
+
+    def start(self, **upstream_options):
+        """Start everything."""
+        self.start_platform()
+        self.start_upstreams(**upstream_options)
+        self.start_nodes()
+        self.wait_settled(self._settings.get("readers", topology.READERS))
+
+    # Versions.
+
+    @property
+    def version(self):
+        """Number of the version published last."""
+        return self.build.configuration.head.version
+
+    def publish(self, **limits):
+        """Change one service and publish.
+
+        Returns
+        -------
+        float
+            Wall time just before the platform was given the new head.
+        """
+        configuration = make_configuration(
+            self.domains, self.services, change=self.change_count, **limits
+        )
+        self.change_count += 1
+        self.build = build_module.make_build(configuration, base=self.build)
+        put_at = 0.0
+        for key, value in self.build.values_by_key.items():
+            if key not in self._published_keys:
+                put_at = time.time()
+                self.put(f"values/{key}", content=value)
+            if key != parts.HEAD_KEY:
+                self._published_keys.add(key)
+        return put_at
+
+    def put(self, path, **content):
+        """Send a control request to the platform on a kept connection."""
+        url = (
+            f"http://{self.platform.address}:"
+            f"{processes.PLATFORM_CONTROL_PORT}/control/{path}"
+        )
+        self._client.put(url, **content).raise_for_status()
+
+    def version_times(self, host):
+        """Return wall times at which a node applied versions, by number."""
+        times = self._times_by_id[host.host_id]
+        path = self._log_path(host)
+        if not path.exists():
+            return times
+        with path.open("rb") as log:
+            log.seek(self._offsets_by_id[host.host_id])
+            for line in log:
+                if not line.endswith(b"\n"):
+                    break
+                self._offsets_by_id[host.host_id] += len(line)
+                if not any(mark in line for mark in _MARKS):
+                    continue
+                entry = json.loads(line)
+                if entry["message_type"].endswith("_applied"):
+                    number = int(re.match(r"\d+", entry["chosen"])[0])
+                    times.setdefault(number, entry["timestamp"])
+                else:
+                    times.setdefault("enforcing", entry["timestamp"])
+        return times
+
+    def wait_in_force(self, version, hosts=None, timeout=120.0):
+        """Wait until nodes enforce a version; return their wall times."""
+        waiting = list(hosts or self.hosts)
+
+        def is_in_force(host):
+            times = self.version_times(host)
+            return "enforcing" in times and any(
+                number != "enforcing" and number >= version for number in times
+            )
+
+        def check():
+            waiting[:] = [host for host in waiting if not is_in_force(host)]
+            for host in waiting:
+                name = f"node-{host.host_id}"
+                if not self.running.is_running(name):
+                    raise processes.ProcessError(
+                        f"{name} ended: {self.running.output(name)[-2000:]}"
+                    )
+            return not waiting
+
+        processes.wait_until(
+            check, description=f"version {version} in force", timeout=timeout
+        )
+        return [
+            min(
+                at
+                for number, at in self.version_times(host).items()
+                if number != "enforcing" and number >= version
+            )
+            for host in hosts or self.hosts
+        ]
+
+    def forget(self, host):
+        """Forget the log of a host whose node is started anew."""
+        self._log_path(host).unlink(missing_ok=True)
+        self._offsets_by_id.pop(host.host_id, None)
+        self._times_by_id.pop(host.host_id, None)
+
+    def _log_path(self, host):
+        return self.running.directory / f"{host.host_id}.jsonl"
+
+    # Figures.
+
+    def platform_status(self):
+        """Return the counts of the platform."""
+        return self.platform.status()
+
+    def control_bytes(self):
+        """Return the sum of message bytes, sent and received, by host id."""
+        return {
+            host.host_id: sum(
+                processes.node_status(host.address)["control_bytes"].values()
+            )
+            for host in self.hosts
+        }
+
+    def socket_bytes(self):
+        """Return TCP bytes of open peer and platform connections.
+
+        Returns
+        -------
+        dict
+            By connection, the bytes carried in both directions and the
+            number of segments, as the kernel counts them at the server.
+        """
+        servers = {f"{host.address}:{PEER_PORT}" for host in self.hosts}
+        servers.add(f"{self.platform.address}:{processes.PLATFORM_PORT}")
+        output = subprocess.run(
+            ["ss", "-tinHO", "src", "127.0.0.0/8"],
+            capture_output=True,
+            text=True,
+            check=True,
+        ).stdout
+        counts = {}
+        for line in output.splitlines():
+            fields = line.split()
+            if fields[0] != "ESTAB" or fields[3] not in servers:
+                continue
+            size = segments = 0
+            for sent, received, out, into in _SOCKET_BYTES.findall(line):
+                size += int(sent or 0) + int(received or 0)
+                segments += int(out or 0) + int(into or 0)
+            counts[fields[3], fields[4]] = size, segments
+        return counts
+
+    def processor_seconds(self):
+        """Return processor time and resident bytes of nodes by host id."""
+        found = {}
+        for host in self.hosts:
+            process = psutil.Process(
+                self.running.process(f"node-{host.host_id}").pid
+            )
+            found[host.host_id] = (
+                sum(process.cpu_times()[:2]),
+                process.memory_info().rss,
+            )
+        return found
+
+    def positions(self, domain):
+        """Return the hosts of a domain in the order of the tree."""
+        return topology.order_of(
+            host for host in self.hosts if host.failure_domain == domain
+        )
+
+
+def socket_bytes_per_node(before, after, nodes):
+    """Return payload and wire bytes a node between two snapshots.
+
+    A byte between peers counts at both; connections that ended in between
+    are missing.
+    """
+    payload = wire = 0
+    for key, (size, segments) in after.items():
+        size_before, segments_before = before.get(key, (0, 0))
+        ends = 2 if key[0].endswith(f":{PEER_PORT}") else 1
+        payload += ends * (size - size_before)
+        wire += ends * (
+            size
+            - size_before
+            + (segments - segments_before) * SEGMENT_HEADER_BYTES
+        )
+    return payload / nodes, wire / nodes
+
+
+def print_table(title, rows):
+    """Print rows, dicts with the same keys, as a Markdown table."""
+    print(f"\n### {title}\n")
+    names = list(rows[0])
+    print("| " + " | ".join(names) + " |")
+    print("| " + " | ".join("---" for _ in names) + " |")
+    for row in rows:
+        print("| " + " | ".join(_text(row.get(name)) for name in names) + " |")
+    print(flush=True)
+
+
+def _text(value):
+    if isinstance(value, float):
+        return f"{value:.3g}" if abs(value) < 100 else f"{value:.0f}"
+    return str(value)
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -202,7 +202,16 @@
     return get_json(f"http://{address}:{OPERATOR_PORT}/status")
 
 
-def start_node(processes, host, *, platform_url, seeds=(), **settings):
+def start_node(
+    processes,
+    host,
+    *,
+    platform_url,
+    seeds=(),
+    name=None,
+    module=("shallotbridge", "node"),
+    **settings,
+):
     """Start the node of a host.
 
     Parameters
@@ -212,6 +221,10 @@
     platform_url : str
     seeds : iterable of str
         Addresses of peers.
+    name : str, optional
+        Name of the process; made from the host's id by default.
+    module : sequence of str
+        Python module, with its first arguments, that takes the settings.
     **settings
         Further settings by name.
 
@@ -220,7 +233,7 @@
     str
         Name of the process.
     """
-    name = f"node-{host.host_id}"
+    name = name or f"node-{host.host_id}"
     flags_by_name = {
         "host_id": host.host_id,
         "address": host.address,
@@ -233,7 +246,7 @@
         f"--{key.replace('_', '-')}={value}"
         for key, value in flags_by_name.items()
     ]
-    processes.start(name, ["shallotbridge", "node", *arguments])
+    processes.start(name, [*module, *arguments])
     return name
 
 
--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,77 @@
+"""Run the measurements of section 11 of the design page: ``make bench``."""
+
+import argparse
+import datetime
+import json
+import os
+import pathlib
+import platform
+import sys
+import time
+
+import psutil
+
+from . import convergence
+from . import fleet
+from . import processes
+
+MEASUREMENTS = {
+    "convergence": convergence.run,
+}
+
+
+def describe_machine():
+    """Return what the figures depend on."""
+    return {
+        "cores": os.cpu_count(),
+        "memory_gib": round(psutil.virtual_memory().total / 2**30),
+        "python": platform.python_version(),
+        "date": datetime.datetime.now().isoformat(timespec="seconds"),
+        "load_average": os.getloadavg()[0],
+    }
+
+
+def main():
+    """Run the chosen measurements; returns the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--only", choices=MEASUREMENTS, action="append", default=[]
+    )
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--network", help="prefix such as 127.20; a free one by default"
+    )
+    parser.add_argument(
+        "--octet", type=int, default=0, help="first third octet of addresses"
+    )
+    parser.add_argument("--output", type=pathlib.Path)
+    arguments = parser.parse_args()
+    found = {"machine": describe_machine(), "seed": arguments.seed}
+    print(f"seed {arguments.seed}, {found['machine']}", flush=True)
+    with processes.running_processes() as running:
+        options = fleet.Options(
+            running=running,
+            prefix=arguments.network or processes.free_network(),
+            octet=arguments.octet,
+            seed=arguments.seed,
+            is_quick=arguments.quick,
+        )
+        for name in arguments.only or MEASUREMENTS:
+            started = time.monotonic()
+            load = os.getloadavg()[0]
+            found[name] = {"rows": MEASUREMENTS[name](options)}
+            found[name]["seconds"] = time.monotonic() - started
+            found[name]["load_averages"] = [load, os.getloadavg()[0]]
+            print(
+                f"{name}: {found[name]['seconds']:.0f} s, load average "
+                f"{load:.1f} before, {os.getloadavg()[0]:.1f} after",
+                flush=True,
+            )
+            if arguments.output:
+                arguments.output.write_text(json.dumps(found, indent=1))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
