Measure added latency and moves of failure domains

Cause: hop.py measures the bare call path only, policy.py simulated time. Change: measure whole nodes with decision log and metrics, and domain moves of both examples against a baseline. Measured: not measured: only short trials on a busy machine so far.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import functools
 import json
 import re
 import subprocess
@@ -69,7 +70,7 @@
     ]
 
 
-def make_configuration(domains, services, *, change=0, **limits):
+def make_configuration(domains, services, change=0, **limits):
     """Return a configuration of generated services.
 
     Parameters
@@ -140,15 +141,31 @@
         Services of the generated configuration.
     variant : str
         Name of a variant of ``bench.variants``, or empty.
+    configure : callable, optional
+        ``configure(change_count, **changes)`` returns the configuration to
+        publish; by default ``make_configuration`` of the services.
     **settings
         Settings of all nodes.
     """
 
-    def __init__(self, *, options, hosts, services, variant="", **settings):
+    def __init__(
+        self,
+        *,
+        options,
+        hosts,
+        services=(),
+        variant="",
+        configure=None,
+        **settings,
+    ):
         self.running = options.running
         self.hosts = hosts
+        # Fleets that run at the same time have different addresses.
+        self._label = options.address(0, 0)
         self.domains = sorted({host.failure_domain for host in hosts})
-        self.services = services
+        self._configure = configure or functools.partial(
+            make_configuration, self.domains, services
+        )
         self.platform = processes.PlatformPlan(address=options.address(0, 1))
         self.build = None
         self.change_count = 0
@@ -179,33 +196,41 @@
         for name in self._names:
             self.running.wait(name)
         for host in self.hosts:
-            self._log_path(host).unlink(missing_ok=True)
+            self.log_path(host).unlink(missing_ok=True)
 
     # Start.
 
     def start_platform(self):
         """Start the platform with host lists and a first version."""
-        processes.start_platform(self.running, self.platform)
-        self._names.append("platform")
+        name = f"platform-{self._label}"
+        processes.start_platform(self.running, self.platform, name=name)
+        self._names.append(name)
         self.platform.publish_hosts(self.hosts)
         self.publish()
 
     def start_upstreams(self, **options):
-        """Start one process that serves the upstreams of all hosts."""
-        flags = [f"--address={host.address}" for host in self.hosts]
-        flags += [
-            f"--{key.replace('_', '-')}={value}"
-            for key, value in options.items()
-        ]
-        self.running.start(
-            "upstreams", ["standins.upstream", "--warm", *flags]
-        )
-        self._names.append("upstreams")
-        processes.wait_answer(
-            self.running,
-            "upstreams",
-            lambda: processes.upstream_record(self.hosts[-1]),
-        )
+        """Start one process a domain for the upstreams of its hosts."""
+        for domain in self.domains:
+            hosts = [
+                host for host in self.hosts if host.failure_domain == domain
+            ]
+            flags = [f"--address={host.address}" for host in hosts]
+            flags += [
+                f"--{key.replace('_', '-')}={value}"
+                for key, value in options.items()
+            ]
+            name = f"upstreams-{self._label}-{domain}"
+            self.running.start(name, ["standins.upstream", "--warm", *flags])
+            self._names.append(name)
+            processes.wait_answer(
+                self.running,
+                name,
+                lambda hosts=hosts: processes.upstream_record(hosts[-1]),
+            )
+
+    def node_name(self, host):
+        """Return the name of a node's process."""
+        return f"node-{self._label}-{host.host_id}"
 
     def start_node(self, host, **settings):
         """Start the node of a host; two other hosts are its seeds."""
@@ -218,11 +243,12 @@
             self.running,
             host,
             platform_url=self.platform.url,
+            name=self.node_name(host),
             module=self._module,
             **{
                 "seeds": seeds,
                 "fleet_size": len(self.hosts),
-                "log_file": self._log_path(host),
+                "log_file": self.log_path(host),
             }
             | self._settings
             | settings,
@@ -274,17 +300,15 @@
         """Number of the version published last."""
         return self.build.configuration.head.version
 
-    def publish(self, **limits):
-        """Change one service and publish.
+    def publish(self, **changes):
+        """Publish the next configuration, made with changes.
 
         Returns
         -------
         float
             Wall time just before the platform was given the new head.
         """
-        configuration = make_configuration(
-            self.domains, self.services, change=self.change_count, **limits
-        )
+        configuration = self._configure(self.change_count, **changes)
         self.change_count += 1
         self.build = build_module.make_build(configuration, base=self.build)
         put_at = 0.0
@@ -307,7 +331,7 @@
     def version_times(self, host):
         """Return wall times at which a node applied versions, by number."""
         times = self._times_by_id[host.host_id]
-        path = self._log_path(host)
+        path = self.log_path(host)
         if not path.exists():
             return times
         with path.open("rb") as log:
@@ -339,7 +363,7 @@
         def check():
             waiting[:] = [host for host in waiting if not is_in_force(host)]
             for host in waiting:
-                name = f"node-{host.host_id}"
+                name = self.node_name(host)
                 if not self.running.is_running(name):
                     raise processes.ProcessError(
                         f"{name} ended: {self.running.output(name)[-2000:]}"
@@ -360,12 +384,13 @@
 
     def forget(self, host):
         """Forget the log of a host whose node is started anew."""
-        self._log_path(host).unlink(missing_ok=True)
+        self.log_path(host).unlink(missing_ok=True)
         self._offsets_by_id.pop(host.host_id, None)
         self._times_by_id.pop(host.host_id, None)
 
-    def _log_path(self, host):
-        return self.running.directory / f"{host.host_id}.jsonl"
+    def log_path(self, host):
+        """Return the file of a node's decision log."""
+        return self.running.directory / f"{self.node_name(host)}.jsonl"
 
     # Figures.
 
@@ -416,7 +441,7 @@
         found = {}
         for host in self.hosts:
             process = psutil.Process(
-                self.running.process(f"node-{host.host_id}").pid
+                self.running.process(self.node_name(host)).pid
             )
             found[host.host_id] = (
                 sum(process.cpu_times()[:2]),
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -347,10 +347,10 @@
         )
 
 
-def start_platform(processes, plan):
+def start_platform(processes, plan, *, name="platform"):
     """Start the platform and wait until it answers."""
     processes.start(
-        "platform",
+        name,
         [
             "standins.platform",
             f"--address={plan.address}",
@@ -358,7 +358,7 @@
             f"--control-port={PLATFORM_CONTROL_PORT}",
         ],
     )
-    wait_answer(processes, "platform", plan.status)
+    wait_answer(processes, name, plan.status)
 
 
 def start_upstream(processes, host, **options):
--- a/bench/run.py
+++ b/bench/run.py
@@ -13,10 +13,14 @@
 
 from . import convergence
 from . import fleet
+from . import latency
+from . import moves
 from . import processes
 
 MEASUREMENTS = {
     "convergence": convergence.run,
+    "latency": latency.run,
+    "moves": moves.run,
 }
 
 
