Measure the cost of control and the start of nodes

Cause: the bounds of 2.3 % of a core, 128 MB and 12 KB/s had no measurement. Change: add bench.control and bench.startup. Measured: not measured: only short trials on a busy machine so far.

--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -120,7 +120,10 @@
     ]
     if options.is_quick:
         cases = [cases[0], cases[3]]
-    rows = [measure(options, **case) for case in cases]
+    rows = []
+    for case in cases:
+        rows.append(measure(options, **case))
+        print(case, f"worst {rows[-1]['worst s']:.2f} s", flush=True)
     short = rows[0].keys()
     times = [name for name in short if not name.endswith(("idle", "busy"))]
     fleet.print_table(
--- a/bench/run.py
+++ b/bench/run.py
@@ -11,16 +11,20 @@
 
 import psutil
 
+from . import control
 from . import convergence
 from . import fleet
 from . import latency
 from . import moves
 from . import processes
+from . import startup
 
 MEASUREMENTS = {
     "convergence": convergence.run,
     "latency": latency.run,
     "moves": moves.run,
+    "control": control.run,
+    "startup": startup.run,
 }
 
 
