--- a/bench/run.py
+++ b/bench/run.py
@@ -17,6 +17,7 @@
 from . import latency
 from . import moves
 from . import processes
+from . import simulation
 from . import startup
 
 MEASUREMENTS = {
@@ -25,6 +26,7 @@
     "moves": moves.run,
     "control": control.run,
     "startup": startup.run,
+    "simulation": simulation.run,
 }
 
 
