--- a/bench/memory.py
+++ b/bench/memory.py
@@ -182,7 +182,7 @@
             started,
             hosts[0],
             platform_url=platform.url,
-            command=(str(binary),),
+            command=(str(binary), "node"),
             environment={"PEX_ROOT": str(root)},
             log_file=str(directory / "log"),
         )
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -210,7 +210,9 @@
     *,
     platform_url,
     seeds=(),
-    command=(sys.executable, "-m", "shallotbridge"),
+    name=None,
+    module=("shallotbridge", "node"),
+    command=None,
     environment=None,
     **settings,
 ):
@@ -223,8 +225,12 @@
     platform_url : str
     seeds : iterable of str
         Addresses of peers.
-    command : sequence of str
-        What runs shallotbridge.
+    name : str, optional
+        Name of the process; made from the host's id by default.
+    module : sequence of str
+        Python module, with its first arguments, that takes the settings.
+    command : sequence of str, optional
+        What takes the settings in place of Python and the module.
     environment : mapping of str to str, optional
         Variables besides those of this process.
     **settings
@@ -235,7 +241,7 @@
     str
         Name of the process.
     """
-    name = f"node-{host.host_id}"
+    name = name or f"node-{host.host_id}"
     flags_by_name = {
         "host_id": host.host_id,
         "address": host.address,
@@ -248,8 +254,10 @@
         f"--{key.replace('_', '-')}={value}"
         for key, value in flags_by_name.items()
     ]
+    if command is not None:
+        module = ()
     processes.start(
-        name, ["node", *arguments], command=command, environment=environment
+        name, [*module, *arguments], command=command, environment=environment
     )
     return name
 
@@ -351,10 +359,10 @@
         )
 
 
-def start_platform(processes, plan):
+def start_platform(processes, plan, *, name="platform"):
     """Start the platform and wait until it answers."""
     processes.start(
-        "platform",
+        name,
         [
             "standins.platform",
             f"--address={plan.address}",
@@ -362,7 +370,7 @@
             f"--control-port={PLATFORM_CONTROL_PORT}",
         ],
     )
-    wait_answer(processes, "platform", plan.status)
+    wait_answer(processes, name, plan.status)
 
 
 def start_upstream(processes, host, **options):
