Count a silent host as unreachable before deadlines pass

Cause: a connection was tried for 3 s (CONNECT_SECONDS of the transport), longer than every route's deadline, so a host behind a partition never counted as unreachable: each request that chose it ended with its own deadline, which the directory does not hold against a host. Ruled out: the choice itself (other candidates were live) and the key owners (requests without keys failed as well).

--- a/shallotbridge/core/pool.py
+++ b/shallotbridge/core/pool.py
@@ -15,6 +15,10 @@
 # side keeps a request from being written to a connection that the server
 # closes at that moment, which ends in "outcome unknown".
 IDLE_SECONDS = 4.0
+# A host behind a partition does not answer at all. It must count as
+# unreachable before the shortest deadlines (250 ms) pass, or requests would
+# choose it again and again; a connection takes 1 to 100 ms otherwise.
+CONNECT_SECONDS = 0.1
 
 
 class _Connection:
@@ -44,6 +48,8 @@
         Whether a response without that header is refused.
     may_keep : callable
         ``may_keep()`` tells whether one more idle connection may be kept.
+    connect_seconds : float
+        Time after which a server that does not answer is unreachable.
     """
 
     def __init__(
@@ -56,6 +62,7 @@
         id_header="x-request-id",
         is_id_required=False,
         may_keep=lambda: True,
+        connect_seconds=CONNECT_SECONDS,
     ):
         self._open_stream = open_stream
         self.address = address
@@ -63,6 +70,7 @@
         self._id_header = id_header
         self._is_id_required = is_id_required
         self._may_keep = may_keep
+        self._connect_seconds = connect_seconds
         self._idle = collections.deque()
         self._places = trio.Semaphore(maximum, max_value=maximum)
         self._is_closed = False
@@ -211,12 +219,19 @@
         return None
 
     async def _connect(self):
+        stream = None
         try:
-            stream = await self._open_stream(self.address, self.port)
+            with trio.move_on_after(self._connect_seconds):
+                stream = await self._open_stream(self.address, self.port)
         except OSError as error:
             raise errors.UpstreamUnreachableError(
                 f"no connection to {self.address}:{self.port}: {error}"
             ) from error
+        if stream is None:
+            raise errors.UpstreamUnreachableError(
+                f"no connection to {self.address}:{self.port} within "
+                f"{self._connect_seconds} s"
+            )
         return _Connection(stream)
 
     async def close_idle(self):
--- a/tests/core/test_pool.py
+++ b/tests/core/test_pool.py
@@ -88,12 +88,12 @@
     server = streams.CountingServer(nursery)
 
     async def open_slowly(address, port):
-        await trio.sleep(2)
+        await trio.sleep(0.08)
         return await server.open_stream(address, port)
 
     tested = make_pool(open_slowly)
     with pytest.raises(errors.DeadlineBeforeSendError):
-        await tested.exchange(REQUEST, trio.current_time() + 1)
+        await tested.exchange(REQUEST, trio.current_time() + 0.05)
     with pytest.raises(errors.DeadlineBeforeSendError):
         await make_pool(server.open_stream).exchange(
             REQUEST, trio.current_time()
@@ -157,3 +157,16 @@
         await tested.exchange(REQUEST, trio.current_time() + 9)
     await ended.wait()
     assert tested.idle_count == 0
+
+
+async def test_a_silent_host_is_unreachable_soon(autojump_clock):
+    """Guards against a partition that takes the deadline of each request."""
+
+    async def stay_silent(address, port):
+        await trio.sleep_forever()
+
+    with pytest.raises(errors.UpstreamUnreachableError):
+        await make_pool(stay_silent).exchange(
+            REQUEST, trio.current_time() + 0.25
+        )
+    assert trio.current_time() <= 0.1 + 1e-6
