Refuse a version that does not follow its base by one

Cause: nodes took any higher number, so version 50 on base 3 was put in force and would have outranked all that operators publish next. Ruled out: the root digest, which was valid. Change: the store checks the number against the stated base; the builders of tests state the base that a version has. A peer that ends now also ends the calls that it answers in the memory fleet.

--- a/shallotbridge/core/store.py
+++ b/shallotbridge/core/store.py
@@ -248,6 +248,13 @@
                 f"{found.hex()[:12]}, announced "
                 f"{candidate.digest.hex()[:12]}; read a full copy"
             )
+        if candidate.version != update.base_version + 1:
+            # A number far ahead would stay in force against all that
+            # operators publish under the following numbers.
+            raise errors.MalformedPartError(
+                f"version {candidate.version} states base version "
+                f"{update.base_version}; a version follows its base by one"
+            )
         configuration = self._decode(
             candidate, contents_by_name, digests_by_name
         )
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -95,8 +95,10 @@
     )
 
 
-def make_full_update(configuration, *, base_version=0, base_digest=b""):
+def make_full_update(configuration, *, base_version=None, base_digest=b""):
     """Return the configuration as a full, uncompressed update."""
+    if base_version is None:
+        base_version = configuration.head.version - 1
     update = peer_pb2.ConfigurationUpdate(
         head=peer_pb2.HeadReference(
             version=configuration.head.version,
--- a/tests/core/test_store.py
+++ b/tests/core/test_store.py
@@ -233,3 +233,14 @@
     )
     contents_by_name = {part.name: part.content for part in bundle.parts}
     assert contents_by_name == dict(store.contents_by_name)
+
+
+def test_a_number_that_does_not_follow_its_base_is_refused():
+    """Guards against a wrong number that outranks what comes next."""
+    store = store_module.ConfigurationStore()
+    update = builders.make_full_update(
+        builders.make_configuration(version=50), base_version=3
+    )
+    with pytest.raises(errors.MalformedPartError):
+        store.apply(update)
+    assert store.head == model.NO_HEAD
--- a/tests/memory.py
+++ b/tests/memory.py
@@ -30,6 +30,7 @@
         self.delay = delay
         self.call_count = 0
         self._handlers_by_address = {}
+        self._scopes_by_address = {}
         self._cut = set()
 
     def cut(self, addresses, other_addresses):
@@ -57,12 +58,16 @@
             address, port, handlers, task_status=trio.TASK_STATUS_IGNORED
         ):
             self._handlers_by_address[address] = handlers
+            scopes = self._scopes_by_address[address] = []
             try:
                 task_status.started()
                 await trio.sleep_forever()
             finally:
                 if self._handlers_by_address.get(address) is handlers:
                     del self._handlers_by_address[address]
+                # The calls that it answers end, as with a TCP reset.
+                for scope in scopes:
+                    scope.cancel()
 
         return network.Peers(
             sync=bind("sync", peer_pb2.SyncReply),
@@ -80,7 +85,13 @@
             if handlers is None:
                 raise errors.PeerUnavailableError(f"{target}: refused")
             request = type(message).FromString(message.SerializeToString())
-            reply = await getattr(handlers, name)(request)
+            scopes = self._scopes_by_address[target]
+            with trio.CancelScope() as scope:
+                scopes.append(scope)
+                try:
+                    reply = await getattr(handlers, name)(request)
+                finally:
+                    scopes.remove(scope)
             if self._handlers_by_address.get(target) is not handlers:
                 raise errors.PeerUnavailableError(f"{target}: closed")
             await self._travel(target, source)
@@ -95,12 +106,12 @@
             await trio.sleep_forever()
 
 
-def platform_values(configuration, *, base_version=0, base_digest=b""):
+def platform_values(configuration, *, base_digest=b""):
     """Return the values that a publication puts on the platform."""
     head = configuration_pb2.Head(
         version=configuration.head.version,
         digest=configuration.head.digest,
-        base_version=base_version,
+        base_version=configuration.head.version - 1,
         base_digest=base_digest,
     )
     values_by_key = {}
