--- /dev/null
+++ b/tests/golden/conftest.py
@@ -0,0 +1,24 @@
+"""The comparison of a session with its golden file."""
+
+import pytest
+from syrupy.extensions import single_file
+
+from tests.golden import harness
+
+
+class GoldenText(single_file.SingleFileSnapshotExtension):
+    """One text file for each session."""
+
+    _write_mode = single_file.WriteMode.TEXT
+    file_extension = "txt"
+
+
+@pytest.fixture
+def golden(snapshot):
+    """Return a function that runs a script and compares its transcript."""
+
+    def check(script, **options):
+        transcript = harness.run(script, **options)
+        assert transcript == snapshot(extension_class=GoldenText)
+
+    return check
