--- a/tests/golden/harness.py
+++ b/tests/golden/harness.py
@@ -18,6 +18,7 @@
 from shallotbridge.core import http1
 from shallotbridge.core import model
 from shallotbridge.core import node as node_module
+from shallotbridge.core import parts
 from shallotbridge.core import tree
 from shallotbridge.transports import network
 from standins import platform as platform_standin
@@ -145,6 +146,7 @@
         self.tree = dataclasses.replace(
             loaded, services_by_name=model.by_key(services, "name")
         )
+        self.services_by_name = self.tree.services_by_name
         # Callers may still ask for routes that are gone.
         self._routes_by_name = {
             name: route
@@ -685,6 +687,25 @@
     )
 
 
+def unchecked_values(configuration, base):
+    """Return values to publish that no build checked."""
+    head = base.configuration.head
+    digests_by_name = {
+        name: parts.part_digest(content)
+        for name, content in parts.encode_parts(configuration).items()
+    }
+    digest = parts.root_digest(
+        version=head.version + 1,
+        base_digest=head.digest,
+        digests_by_name=digests_by_name,
+    )
+    reference = model.HeadReference(version=head.version + 1, digest=digest)
+    return memory.platform_values(
+        dataclasses.replace(configuration, head=reference),
+        base_digest=head.digest,
+    )
+
+
 def _with_services(configuration, change):
     changed = map(change, configuration.services_by_name.values())
     return dataclasses.replace(
