--- a/bench/demo.py
+++ b/bench/demo.py
@@ -7,7 +7,6 @@
 """
 
 import collections
-import contextlib
 import functools
 import pathlib
 import random
@@ -23,11 +22,12 @@
 CONVERGENCE_SECONDS = 4.0
 OUT_DOMAIN = "cairo-2"
 DOMAINS = ("cairo-1", "cairo-2")
-CALLERS = 12
-CALLER_INTERVAL = 0.15
+CALLERS = 20
+CALLER_INTERVAL = 0.1  # s, mean
 SAMPLE_SECONDS = 0.2
 # Fixed, so that two runs send the same mix; processes still differ.
 RANDOM_SEED = 7
+EXIT_INTERRUPTED = 130
 KINDS = (
     load.Kind(method="GET", path="/showroom/stock", is_idempotent=True),
     load.Kind(
@@ -209,9 +209,17 @@
             f"{self._started_in(OUT_DOMAIN) - runs_after} requests in 4 s",
         )
 
+    def _record_of(self, host):
+        # An upstream that has crashed answers again after its restart.
+        return processes.wait_answer(
+            self.running,
+            f"upstream-{host.host_id}",
+            lambda: processes.upstream_record(host),
+        )
+
     def _started_in(self, domain):
         return sum(
-            sum(processes.upstream_record(host)["by_request_id"].values())
+            sum(self._record_of(host)["by_request_id"].values())
             for host in self.hosts
             if host.failure_domain == domain
         )
@@ -259,8 +267,11 @@
         """Compare what callers were told with what upstreams recorded."""
         runs_by_request_id = collections.Counter()
         runs_by_key = collections.Counter()
+        overloads = crashes = 0
         for host in self.hosts:
-            record = processes.upstream_record(host)
+            record = self._record_of(host)
+            overloads += record["cold_overloads"]
+            crashes += record["crashes"]
             runs_by_request_id.update(record["by_request_id"])
             runs_by_key.update(record["by_key"])
         sendings = callers.sendings
@@ -295,6 +306,11 @@
             not twice,
             f"{len(runs_by_key)} keys",
         )
+        self.checks.expect(
+            "no cold upstream got more than it can bear",
+            not overloads and not crashes,
+            f"{overloads} overloads, {crashes} crashes",
+        )
         begun, ended = stop_times
         cut_off = [
             each
@@ -351,7 +367,8 @@
     """Run all steps; returns the exit status."""
     demo = Demo(running=running)
     print(f"{len(demo.hosts)} nodes and upstreams in {', '.join(DOMAINS)}")
-    await trio.to_thread.run_sync(demo.start_all)
+    # Not in a worker thread: see Processes.start.
+    demo.start_all()
     callers = load.Callers(
         addresses=[host.address for host in demo.hosts],
         kinds=KINDS,
@@ -394,11 +411,26 @@
     return 0
 
 
+async def run_until_signal(running):
+    """Run all steps, or end early at a signal; returns the exit status."""
+    status = EXIT_INTERRUPTED
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+
+            async def end_at_signal():
+                await signals.__anext__()
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(end_at_signal)
+            status = await run(running)
+            nursery.cancel_scope.cancel()
+    return status
+
+
 def main():
     """Run the demo; returns the exit status."""
-    with contextlib.ExitStack() as stack:
-        running = stack.enter_context(processes.running_processes())
-        return trio.run(run, running)
+    with processes.running_processes() as running:
+        return trio.run(run_until_signal, running)
 
 
 if __name__ == "__main__":
--- a/bench/hop.py
+++ b/bench/hop.py
@@ -3,7 +3,8 @@
 Run ``python -m bench.hop``. A load generator sends the same open-loop
 arrivals directly to a trivial upstream and through an entry node and an
 owner node, each in a process of its own. ``--variant quart`` measures two
-hops of Quart on Hypercorn with httpx instead.
+hops of Quart on Hypercorn with httpx instead, ``--variant relay`` two hops
+that only copy bytes, which is the floor of the machine.
 """
 
 import argparse
@@ -14,9 +15,11 @@
 import json
 import os
 import random
+import socket
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 
 import eliot
@@ -24,13 +27,20 @@
 import trio
 
 from shallotbridge.core import decisions
+from shallotbridge.core import directory
 from shallotbridge.core import entry
 from shallotbridge.core import errors
 from shallotbridge.core import forwarding
+from shallotbridge.core import gate
+from shallotbridge.core import hosts
+from shallotbridge.core import keys
 from shallotbridge.core import model
 from shallotbridge.core import owner
 from shallotbridge.core import pool
+from shallotbridge.core import retries
+from shallotbridge.core import routing
 from shallotbridge.core import serving
+from shallotbridge.core import suspects
 from shallotbridge.transports import tcp
 
 UPSTREAM_ADDRESS = "127.7.0.2"
@@ -73,7 +83,9 @@
     return model.Configuration(
         head=model.HeadReference(version=1, digest=b"d"),
         mesh_name="bench",
-        failure_domains_by_name={},
+        failure_domains_by_name=model.by_key(
+            [model.FailureDomain(name="cairo-1", region="cairo")], "name"
+        ),
         services_by_name=model.by_key([service], "name"),
     )
 
@@ -87,31 +99,17 @@
     )
 
 
-class _Fixed:
-    """A directory with one candidate, an open gate and a full budget."""
-
-    free = 1
+class _Store:
+    """A configuration that is in force from the start."""
 
     def __init__(self):
         self.configuration = _configuration()
-        self.host = _host("owner", UPSTREAM_ADDRESS)
-
-    def choose(self, call, excluded):
-        if excluded:
-            raise errors.NoUpstreamError("the only host was tried")
-        return self.host
-
-    async def run(self, call, send):
-        return await send(call)
 
-    def ignore(self, *arguments):
-        pass
 
-    on_sent = on_response = on_refused = on_failed = on_ended = ignore
-    on_request = ignore
-
-    def try_spend(self):
-        return True
+def _hosts(host):
+    table = hosts.HostTable()
+    table.replace("cairo-1", 1, [host])
+    return table
 
 
 async def _serve_upstream():
@@ -131,28 +129,47 @@
 
 
 async def _serve_owner():
-    fixed = _Fixed()
+    host = _host("owner", UPSTREAM_ADDRESS)
+    store = _Store()
+    upstream_gate = gate.UpstreamGate(
+        own_host=host,
+        configuration=lambda: store.configuration,
+        keys=keys.KeyWindow(
+            own_host=host, hosts_of_service=_hosts(host).hosts_of_service
+        ),
+        suspects=suspects.SuspectTable(),
+    )
     server = owner.OwnerServer(
-        own_host=fixed.host,
-        store=fixed,
-        gate=fixed,
+        own_host=host,
+        store=store,
+        gate=upstream_gate,
         open_stream=tcp.open_stream,
         maximum_connections=1000,
     )
-    await tcp.serve(UPSTREAM_ADDRESS, forwarding.FORWARD_PORT, server.handle)
+    async with trio.open_nursery() as nursery:
+        upstream_gate.start(nursery)
+        await tcp.serve(
+            UPSTREAM_ADDRESS, forwarding.FORWARD_PORT, server.handle
+        )
 
 
 async def _serve_entry():
-    fixed = _Fixed()
+    own_host = _host("entry", ENTRY_ADDRESS)
+    source = random.Random(1)
+    budget = retries.RetryBudget(retry_ratio=ROUTE.retry_ratio)
     server = entry.EntryServer(
-        own_host=_host("entry", ENTRY_ADDRESS),
-        store=fixed,
-        find_route=lambda configuration, method, target: ROUTE,
-        directory=fixed,
+        own_host=own_host,
+        store=_Store(),
+        find_route=routing.find_route,
+        directory=directory.OwnerDirectory(
+            own_host=own_host,
+            hosts=_hosts(_host("owner", UPSTREAM_ADDRESS)),
+            random=source,
+        ),
         forwarder=forwarding.Forwarder(open_stream=tcp.open_stream),
         run_local=None,
-        retry_budget_of=lambda service: fixed,
-        random=random.Random(1),
+        retry_budget_of=lambda service: budget,
+        random=source,
         record=decisions.record,
     )
     await tcp.serve(ENTRY_ADDRESS, CALLER_PORT, server.handle)
@@ -188,7 +205,49 @@
         await hypercorn.trio.serve(app, config)
 
 
+async def _serve_relay(address, port, next_address, next_port):
+    """Copy bytes in threads with blocking sockets, without any parsing.
+
+    Two such hops cost the system calls and wake-ups that no proxy avoids.
+    """
+
+    def copy(source, target):
+        with contextlib.suppress(OSError):
+            while data := source.recv(65536):
+                target.sendall(data)
+            target.shutdown(socket.SHUT_WR)
+
+    def accept():
+        with socket.create_server((address, port)) as listener:
+            while True:
+                near, _ = listener.accept()
+                far = socket.create_connection((next_address, next_port))
+                for each in (near, far):
+                    each.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                for pair in ((near, far), (far, near)):
+                    threading.Thread(
+                        target=copy, args=pair, daemon=True
+                    ).start()
+
+    threading.Thread(target=accept, daemon=True).start()
+    await trio.sleep_forever()
+
+
 SERVERS_BY_ROLE = {
+    "relay-owner": functools.partial(
+        _serve_relay,
+        UPSTREAM_ADDRESS,
+        forwarding.FORWARD_PORT,
+        UPSTREAM_ADDRESS,
+        owner.UPSTREAM_PORT,
+    ),
+    "relay-entry": functools.partial(
+        _serve_relay,
+        ENTRY_ADDRESS,
+        CALLER_PORT,
+        UPSTREAM_ADDRESS,
+        forwarding.FORWARD_PORT,
+    ),
     "upstream": _serve_upstream,
     "owner": _serve_owner,
     "entry": _serve_entry,
@@ -279,24 +338,26 @@
 
 
 def _processor_seconds(processes):
-    return [
-        sum(psutil.Process(each.pid).cpu_times()[:2]) for each in processes
-    ]
+    """Return the user and system time of all processes together."""
+    times = [psutil.Process(each.pid).cpu_times() for each in processes]
+    return sum(each.user for each in times), sum(each.system for each in times)
 
 
 async def _measure(direct, mesh, processes, rate, seconds, rounds):
     """Alternate direct and mesh load, so that both see the same machine."""
     by_path = {"direct": [], "mesh": []}
     failures = []
-    processor = 0.0
+    processor = {"user": 0.0, "system": 0.0}
     for number in range(rounds):
         for name, client in (("direct", direct), ("mesh", mesh)):
-            before = sum(_processor_seconds(processes))
+            before = _processor_seconds(processes)
             latencies, failed = await _load(
                 client, rate, seconds / rounds, number
             )
             if name == "mesh":
-                processor += sum(_processor_seconds(processes)) - before
+                after = _processor_seconds(processes)
+                processor["user"] += after[0] - before[0]
+                processor["system"] += after[1] - before[1]
             by_path[name] += latencies
             failures += failed
     found = {name: _percentiles(each) for name, each in by_path.items()}
@@ -309,9 +370,10 @@
         "requests": len(by_path["mesh"]),
         "failures": len(failures),
         **found,
-        "processor_ms_per_request": round(
-            processor * 1000 / len(by_path["mesh"]), 3
-        ),
+        "processor_ms_per_request": {
+            kind: round(seconds_spent * 1000 / len(by_path["mesh"]), 3)
+            for kind, seconds_spent in processor.items()
+        },
     }
 
 
@@ -369,7 +431,9 @@
     """Measure, print JSON lines, and fail if the target is missed."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--role", choices=SERVERS_BY_ROLE)
-    parser.add_argument("--variant", choices=("own", "quart"), default="own")
+    parser.add_argument(
+        "--variant", choices=("own", "quart", "relay"), default="own"
+    )
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--knee", action="store_true")
     parser.add_argument("--profile", default="")
@@ -377,7 +441,7 @@
     if arguments.role:
         _serve_role(arguments.role, arguments.profile)
         return 0
-    prefix = "quart-" if arguments.variant == "quart" else ""
+    prefix = "" if arguments.variant == "own" else f"{arguments.variant}-"
     roles = ("upstream", f"{prefix}owner", f"{prefix}entry")
     command = [sys.executable, "-m", "bench.hop"]
     if arguments.profile:
@@ -408,7 +472,7 @@
             }
         )
     )
-    return 0 if is_met or arguments.variant == "quart" else 1
+    return 0 if is_met or arguments.variant != "own" else 1
 
 
 if __name__ == "__main__":
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 
 import httpx
@@ -71,7 +72,17 @@
         self.close()
 
     def start(self, name, arguments, *, environment=None):
-        """Start a Python module with arguments; output goes to a file."""
+        """Start a Python module with arguments; output goes to a file.
+
+        Raises
+        ------
+        ProcessError
+            The caller is not the main thread. The kernel ends a child when
+            the thread that started it ends, and worker threads of trio end
+            after 10 s without work.
+        """
+        if threading.current_thread() is not threading.main_thread():
+            raise ProcessError(f"{name}: not started by the main thread")
         log = (self.directory / f"{name}.log").open("ab")
         with log:
             self._processes_by_name[name] = subprocess.Popen(
@@ -334,7 +345,7 @@
             f"--control-port={PLATFORM_CONTROL_PORT}",
         ],
     )
-    _wait_answer(processes, "platform", plan.status)
+    wait_answer(processes, "platform", plan.status)
 
 
 def start_upstream(processes, host, **options):
@@ -354,10 +365,18 @@
     processes.start(
         name, ["standins.upstream", f"--address={host.address}", *flags]
     )
-    _wait_answer(processes, name, lambda: upstream_record(host))
+    wait_answer(processes, name, lambda: upstream_record(host))
+
 
+def wait_answer(processes, name, check):
+    """Wait until a running process answers, and return its answer.
+
+    Raises
+    ------
+    ProcessError
+        The process ended or did not answer in time.
+    """
 
-def _wait_answer(processes, name, check):
     def is_ready():
         if not processes.is_running(name):
             raise ProcessError(
@@ -365,7 +384,7 @@
             )
         return check()
 
-    wait_until(is_ready, description=f"{name} answers")
+    return wait_until(is_ready, description=f"{name} answers")
 
 
 def upstream_record(host):
--- a/shallotbridge/core/entry.py
+++ b/shallotbridge/core/entry.py
@@ -35,6 +35,8 @@
     find_route : callable
         ``find_route(configuration, method, target)``, as in ``routing``.
     directory : directory.OwnerDirectory
+        ``choose(call, excluded)`` returns a host and how it was chosen,
+        with ``candidates`` and ``reason``.
     forwarder : forwarding.Forwarder
     run_local : callable
         ``await run_local(call)`` of the node's own ``OwnerServer``.
@@ -180,11 +182,11 @@
             try:
                 host, choice = self._directory.choose(call, excluded)
             except errors.CallError as error:
-                trace.begin(attempt, None)
+                trace.begin(attempt, None, None)
                 trace.end(error=error)
                 last_error = last_error or error
                 break
-            trace.begin(attempt, choice)
+            trace.begin(attempt, host, choice)
             try:
                 response = await self._attempt(host, call)
             except errors.CallError as error:
@@ -231,16 +233,13 @@
             elif isinstance(error, _ERRORS_OF_THE_REQUEST):
                 pass
             elif error.outcome is errors.Outcome.NOT_RUN:
-                directory.on_refused(host_id, error)
+                directory.on_refused(host_id, error, error.free)
             else:
                 directory.on_failed(host_id, error)
             raise
         finally:
             directory.on_ended(host_id)
-        free = response.header(protocol.FREE)
-        directory.on_response(
-            host_id, int(free) if free and free.isdecimal() else None
-        )
+        directory.on_response(host_id, protocol.read_free(response))
         return response
 
     def _success(self, call, response):
@@ -315,13 +314,13 @@
         self.lines = []
         self._started = None
 
-    def begin(self, attempt, choice):
+    def begin(self, attempt, host, choice):
         self._started = trio.current_time()
         self.lines.append(
             {
-                "chosen": getattr(choice, "host_id", None),
-                "candidates": getattr(choice, "candidates", None),
-                "reason": getattr(choice, "reason", None),
+                "chosen": None if host is None else host.host_id,
+                "candidates": len(choice.candidates) if choice else 0,
+                "reason": choice.reason if choice else "no candidate",
                 "attempt": attempt,
             }
         )
--- a/shallotbridge/core/pool.py
+++ b/shallotbridge/core/pool.py
@@ -21,6 +21,14 @@
 CONNECT_SECONDS = 0.1
 
 
+class IdleCounter:
+    """Idle connections of all pools that share it, with their bound."""
+
+    def __init__(self, *, maximum):
+        self.maximum = maximum
+        self.count = 0
+
+
 class _Connection:
     __slots__ = ("stream", "reader", "idle_since")
 
@@ -46,8 +54,8 @@
         Header in which a response echoes the request's id.
     is_id_required : bool
         Whether a response without that header is refused.
-    may_keep : callable
-        ``may_keep()`` tells whether one more idle connection may be kept.
+    idle_counter : IdleCounter, optional
+        Shared with other pools; bounds the idle connections of all.
     connect_seconds : float
         Time after which a server that does not answer is unreachable.
     """
@@ -61,7 +69,7 @@
         maximum,
         id_header="x-request-id",
         is_id_required=False,
-        may_keep=lambda: True,
+        idle_counter=None,
         connect_seconds=CONNECT_SECONDS,
     ):
         self._open_stream = open_stream
@@ -69,7 +77,7 @@
         self.port = port
         self._id_header = id_header
         self._is_id_required = is_id_required
-        self._may_keep = may_keep
+        self._idle_counter = idle_counter or IdleCounter(maximum=maximum)
         self._connect_seconds = connect_seconds
         self._idle = collections.deque()
         self._places = trio.Semaphore(maximum, max_value=maximum)
@@ -170,9 +178,15 @@
                 is_kept = connection.reader.is_persistent
                 return response
             finally:
-                if is_kept and not self._is_closed and self._may_keep():
+                counter = self._idle_counter
+                if (
+                    is_kept
+                    and not self._is_closed
+                    and counter.count < counter.maximum
+                ):
                     connection.idle_since = trio.current_time()
                     self._idle.append(connection)
+                    counter.count += 1
                 else:
                     await trio.aclose_forcefully(connection.stream)
 
@@ -211,6 +225,7 @@
         oldest = trio.current_time() - IDLE_SECONDS
         while self._idle:
             connection = self._idle.pop()
+            self._idle_counter.count -= 1
             if connection.idle_since > oldest and not _is_readable(
                 connection.stream
             ):
@@ -239,6 +254,7 @@
         oldest = trio.current_time() - IDLE_SECONDS
         while self._idle and self._idle[0].idle_since <= oldest:
             connection = self._idle.popleft()
+            self._idle_counter.count -= 1
             await trio.aclose_forcefully(connection.stream)
 
     async def close(self):
@@ -246,6 +262,7 @@
         self._is_closed = True
         while self._idle:
             connection = self._idle.popleft()
+            self._idle_counter.count -= 1
             await trio.aclose_forcefully(connection.stream)
 
 
@@ -260,22 +277,23 @@
 
 def _is_readable(stream):
     """Tell whether an idle connection has bytes or its end to read."""
-    socket = getattr(stream, "socket", None)
-    return socket is not None and socket.is_readable()
+    is_readable = getattr(stream, "is_readable", None)
+    return is_readable is not None and is_readable()
 
 
 async def _send(stream, data, progress):
     """Write all bytes, recording whether any was accepted.
 
-    A socket tells that nothing was accepted, so that a connection that the
-    server closed before the first byte does not make the outcome unknown.
+    A TCP stream tells that nothing was accepted, so that a connection that
+    the server closed before the first byte does not make the outcome
+    unknown.
     """
-    socket = getattr(stream, "socket", None)
-    if socket is None:
+    send_some = getattr(stream, "send_some", None)
+    if send_some is None:
         progress.is_started = True
         await stream.send_all(data)
         return
-    sent = await socket.send(data)
+    sent = await send_some(data)
     progress.is_started = True
     if sent < len(data):
         await stream.send_all(memoryview(data)[sent:])
--- a/shallotbridge/core/store.py
+++ b/shallotbridge/core/store.py
@@ -151,9 +151,18 @@
             and candidate.digest != current.head.digest
             and current.head != model.NO_HEAD
         )
-        if not is_conflict and model.NO_HEAD < candidate <= current.head:
+        is_well_formed = (
+            candidate.version > 0 and len(candidate.digest) == _DIGEST_BYTES
+        )
+        if is_well_formed and not is_conflict and candidate <= current.head:
             return False
         try:
+            if not is_well_formed:
+                raise errors.MalformedPartError(
+                    f"head has version {candidate.version} and a digest of "
+                    f"{len(candidate.digest)} bytes; expected 1 or more and "
+                    f"{_DIGEST_BYTES}"
+                )
             version = self._verify(candidate, update)
         except errors.DeltaBaseError as error:
             decisions.record(
@@ -221,11 +230,12 @@
         return self.configuration
 
     def _verify(self, candidate, update):
-        if candidate.version < 1 or len(candidate.digest) != _DIGEST_BYTES:
+        if update.base_version != candidate.version - 1:
+            # A number too far ahead would make every node refuse the
+            # versions that follow the true one.
             raise errors.MalformedPartError(
-                f"head has version {candidate.version} and a digest of "
-                f"{len(candidate.digest)} bytes; expected 1 or more and "
-                f"{_DIGEST_BYTES}"
+                f"version {candidate.version} is built on version "
+                f"{update.base_version}; expected {candidate.version - 1}"
             )
         contents_by_name = self._contents_of(update)
         current = self._current
@@ -248,13 +258,6 @@
                 f"{found.hex()[:12]}, announced "
                 f"{candidate.digest.hex()[:12]}; read a full copy"
             )
-        if candidate.version != update.base_version + 1:
-            # A number far ahead would stay in force against all that
-            # operators publish under the following numbers.
-            raise errors.MalformedPartError(
-                f"version {candidate.version} states base version "
-                f"{update.base_version}; a version follows its base by one"
-            )
         configuration = self._decode(
             candidate, contents_by_name, digests_by_name
         )
--- a/tests/golden/memory_network.py
+++ b/tests/golden/memory_network.py
@@ -134,8 +134,6 @@
         self.port = port
         self.is_client = is_client
         self.peer = None
-        # The pool asks a socket whether bytes were accepted.
-        self.socket = self
         self._fabric = fabric
         self._process = process
         self._incoming = incoming
@@ -147,8 +145,8 @@
     def _link(self):
         return self._fabric.link(self.local, self.remote)
 
-    async def send(self, data):
-        """Send bytes as a socket does; return their number."""
+    async def send_some(self, data):
+        """Send bytes as a TCP stream does; return their number."""
         await trio.lowlevel.checkpoint()
         await self._process.wait_running()
         if self._is_closed:
@@ -176,7 +174,7 @@
 
     async def send_all(self, data):
         """Send bytes; a cut link holds them until the cut ends."""
-        if await self.send(data) < len(data):
+        if await self.send_some(data) < len(data):
             raise trio.BrokenResourceError("the connection was reset")
 
     async def wait_send_all_might_not_block(self):
