--- a/shallotbridge/core/serving.py
+++ b/shallotbridge/core/serving.py
@@ -63,8 +63,9 @@
                         self.busy_count -= 1
                     if not is_kept:
                         return
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            # The client closed the connection; nobody reads an answer.
+        except* (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The client closed the connection; nobody reads an answer. An
+            # answer that is sent beside the watch fails in a group.
             pass
         finally:
             self.connection_count -= 1
