--- a/tests/golden/memory_network.py
+++ b/tests/golden/memory_network.py
@@ -5,6 +5,8 @@
 connections, and a fault can break a connection after a number of bytes.
 """
 
+import collections
+
 import trio
 
 from shallotbridge.transports import network
@@ -204,6 +206,11 @@
         self._close(self._outgoing.reset)
         self._incoming.reset()
 
+    def end_now(self):
+        """Close this end at once; the other end sees the end."""
+        self._close(self._outgoing.end)
+        self._incoming.reset()
+
     def _close(self, tell_other):
         if not self._is_closed:
             self._is_closed = True
@@ -230,10 +237,18 @@
         self._latency = latency
         self._listeners_by_endpoint = {}
         self._links_by_pair = {}
+        self._processes_by_address = collections.defaultdict(list)
+
+    def reset_host(self, address):
+        """End all connections of a host; the others see their end."""
+        for process in self._processes_by_address[address]:
+            for stream in list(process.streams.values()):
+                stream.end_now()
 
     def network_of(self, address, process=None):
         """Return the network as a process at an address sees it."""
         process = process or Process()
+        self._processes_by_address[address].append(process)
 
         async def open_stream(remote, port):
             return await self._open_stream(process, address, remote, port)
