--- a/bench/variants.py
+++ b/bench/variants.py
@@ -83,7 +83,7 @@
             attempt += 1
             try:
                 host, choice = self._directory.choose(call, ())
-                trace.begin(min(attempt, entry.MAXIMUM_ATTEMPTS), choice)
+                trace.begin(attempt, host, choice)
                 response = await self._attempt(host, call)
             except errors.CallError as error:
                 last_error = error
