--- a/shallotbridge/cli/version.py
+++ b/shallotbridge/cli/version.py
@@ -2,7 +2,7 @@
 
 import typer
 
-import shallotbridge
+from .. import __version__
 
 _HELP = """Print the version of this program.
 
@@ -18,4 +18,4 @@
 
 
 def _version():
-    typer.echo(f"shallotbridge {shallotbridge.__version__}")
+    typer.echo(f"shallotbridge {__version__}")
--- a/shallotbridge/core/entry.py
+++ b/shallotbridge/core/entry.py
@@ -6,7 +6,7 @@
 
 from . import decisions
 from . import errors
-from . import http1
+from . import http1_encoding
 from . import keys as key_window
 from . import model
 from . import protocol
@@ -268,7 +268,7 @@
             response,
             headers=(
                 *protocol.without_own_headers(
-                    http1.end_to_end_headers(response.headers)
+                    http1_encoding.end_to_end_headers(response.headers)
                 ),
                 *self._own_headers(
                     call, call.request_id, errors.Outcome.RUN, retry
--- a/shallotbridge/core/errors.py
+++ b/shallotbridge/core/errors.py
@@ -363,6 +363,12 @@
         self.problems = tuple(problems)
 
 
+class SettingValueError(ShallotbridgeError):
+    """The text of one setting is not allowed; the detail says what is."""
+
+    code = "SB-4002"
+
+
 def _all_subclasses(base):
     for subclass in base.__subclasses__():
         yield subclass
--- a/shallotbridge/core/forwarding.py
+++ b/shallotbridge/core/forwarding.py
@@ -3,7 +3,7 @@
 import trio
 
 from . import errors
-from . import http1
+from . import http1_encoding
 from . import model
 from . import pool
 from . import protocol
@@ -119,7 +119,7 @@
 
 def _owner_headers(host, call):
     headers = protocol.without_own_headers(
-        http1.end_to_end_headers(call.request.headers)
+        http1_encoding.end_to_end_headers(call.request.headers)
     )
     if call.request.header("host") is None:
         headers.append(model.Header(name="host", value=host.address))
--- a/shallotbridge/core/hosts.py
+++ b/shallotbridge/core/hosts.py
@@ -98,15 +98,11 @@
                 f"hosts of {failure_domain}: found {name} {value!r}, "
                 "expected a name"
             )
-    try:
-        if not isinstance(address, str):
-            raise ValueError("not a string")
-        ipaddress.ip_address(address)
-    except ValueError as error:
+    if not _is_address(address):
         raise errors.MalformedHostListError(
             f"hosts of {failure_domain}: {host_id}: found address "
             f"{address!r}, expected an IP address"
-        ) from error
+        )
     return model.Host(
         host_id=host_id,
         address=address,
@@ -116,6 +112,17 @@
     )
 
 
+def _is_address(value):
+    # ip_address also takes integers, which are no addresses in JSON.
+    if not isinstance(value, str):
+        return False
+    try:
+        ipaddress.ip_address(value)
+    except ValueError:
+        return False
+    return True
+
+
 def _is_utf8(value):
     # JSON can hold lone surrogates, which protobuf strings can not.
     try:
--- /dev/null
+++ b/shallotbridge/core/http1_encoding.py
@@ -0,0 +1,186 @@
+"""Bytes of HTTP/1.1 messages, and which headers travel to the next hop."""
+
+import functools
+import re
+
+from . import errors
+
+# A content-length; 18 digits fit into 64 bits.
+LENGTH = re.compile(r"[0-9]{1,18}", re.ASCII)
+_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9a-z-]+", re.ASCII)
+_METHOD = re.compile(r"[A-Z-]{1,32}", re.ASCII)
+_ENCODED_TARGET = re.compile(r"/[\x21-\x7e]*|\*")
+_BAD_VALUE = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+_BAD_TEXT = re.compile(r"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
+_HOP_BY_HOP_NAMES = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+_REASONS_BY_STATUS = {
+    200: "OK",
+    201: "Created",
+    204: "No Content",
+    304: "Not Modified",
+    400: "Bad Request",
+    404: "Not Found",
+    409: "Conflict",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+def connection_tokens(headers):
+    tokens = set()
+    for header in headers:
+        if header.name == "connection":
+            for token in header.value.split(","):
+                tokens.add(token.strip(" \t").lower())
+    return tokens
+
+
+def end_to_end_headers(headers):
+    """Return the headers that may be passed on.
+
+    Removes the hop-by-hop headers and those that Connection names.
+
+    Examples
+    --------
+    >>> from shallotbridge.core import model
+    >>> headers = [
+    ...     model.Header(name="connection", value="x-a"),
+    ...     model.Header(name="x-a", value="1"),
+    ...     model.Header(name="x-b", value="2"),
+    ... ]
+    >>> [header.name for header in end_to_end_headers(headers)]
+    ['x-b']
+    """
+    removed = connection_tokens(headers) | _HOP_BY_HOP_NAMES
+    return [header for header in headers if header.name not in removed]
+
+
+@functools.lru_cache(maxsize=1024)
+def _is_name(name):
+    return _NAME.fullmatch(name) is not None
+
+
+def _append_headers(lines, headers):
+    """Append encoded headers; hop-by-hop ones are left out."""
+    for header in headers:
+        name = header.name
+        if name not in _HOP_BY_HOP_NAMES:
+            if not _is_name(name):
+                raise errors.BadHeaderError(
+                    f"header name {name!r}; allowed: a lower-case token"
+                )
+            lines.append(f"{name}: {header.value}\r\n")
+
+
+def _encode(lines, body):
+    """Return the bytes of a message.
+
+    All lines are checked at once: each ends in one CRLF, so a value that
+    could end its line makes the counts differ.
+
+    Raises
+    ------
+    errors.BadHeaderError
+        A value has control characters or is not of ISO 8859-1.
+    """
+    text = "".join(lines)
+    count = len(lines)
+    if (
+        text.count("\n") != count
+        or text.count("\r") != count
+        or _BAD_TEXT.search(text)
+    ):
+        bad = [line for line in lines if _BAD_VALUE.search(line[:-2])]
+        raise errors.BadHeaderError(
+            f"header line {bad[0]!r}; allowed: no control characters"
+        )
+    try:
+        return text.encode("latin-1") + body
+    except UnicodeEncodeError as error:
+        raise errors.BadHeaderError(
+            f"header with {error.object[error.start]!r}; allowed: characters "
+            "of ISO 8859-1"
+        ) from error
+
+
+def encode_request(request):
+    """Return the bytes of a request for a kept-alive connection.
+
+    Raises
+    ------
+    errors.BadHeaderError
+        A header, the method or the target cannot be encoded safely.
+
+    Examples
+    --------
+    >>> from shallotbridge.core import model
+    >>> request = model.Request(
+    ...     method="GET",
+    ...     target="/rolls",
+    ...     headers=(model.Header(name="host", value="a"),),
+    ... )
+    >>> encode_request(request)
+    b'GET /rolls HTTP/1.1\\r\\nhost: a\\r\\n\\r\\n'
+    """
+    if not _METHOD.fullmatch(request.method) or not _ENCODED_TARGET.fullmatch(
+        request.target
+    ):
+        raise errors.BadHeaderError(
+            f"request line {request.method!r} {request.target!r}; allowed: a "
+            "method and a path without spaces"
+        )
+    lines = [f"{request.method} {request.target} HTTP/1.1\r\n"]
+    _append_headers(lines, request.headers)
+    if request.body or request.method not in ("GET", "HEAD"):
+        lines.append(f"content-length: {len(request.body)}\r\n")
+    lines.append("\r\n")
+    return _encode(lines, request.body)
+
+
+def encode_response(response, *, method="GET", is_persistent=True):
+    """Return the bytes of a response to a request of a method.
+
+    Examples
+    --------
+    >>> from shallotbridge.core import model
+    >>> encode_response(model.Response(status=200, headers=(), body=b"x"))
+    b'HTTP/1.1 200 OK\\r\\ncontent-length: 1\\r\\n\\r\\nx'
+    """
+    status = response.status
+    reason = _REASONS_BY_STATUS.get(status, "Status")
+    lines = [f"HTTP/1.1 {status} {reason}\r\n"]
+    _append_headers(lines, response.headers)
+    body = response.body
+    if method == "HEAD":
+        length = response.header("content-length")
+        if body:
+            length = str(len(body))
+            body = b""
+        if length and LENGTH.fullmatch(length):
+            lines.append(f"content-length: {length}\r\n")
+    elif status in (204, 304):
+        body = b""
+    else:
+        lines.append(f"content-length: {len(body)}\r\n")
+    if not is_persistent:
+        lines.append("connection: close\r\n")
+    lines.append("\r\n")
+    return _encode(lines, body)
--- a/shallotbridge/core/owner.py
+++ b/shallotbridge/core/owner.py
@@ -5,7 +5,7 @@
 import trio
 
 from . import errors
-from . import http1
+from . import http1_encoding
 from . import keys
 from . import model
 from . import pool
@@ -144,7 +144,7 @@
             response,
             headers=(
                 *protocol.without_own_headers(
-                    http1.end_to_end_headers(response.headers)
+                    http1_encoding.end_to_end_headers(response.headers)
                 ),
                 model.Header(
                     name=protocol.UPSTREAM_TIME, value=str(microseconds)
@@ -240,7 +240,7 @@
     headers = [
         header
         for header in protocol.without_own_headers(
-            http1.end_to_end_headers(call.request.headers)
+            http1_encoding.end_to_end_headers(call.request.headers)
         )
         if header.name not in _REPLACED_NAMES
     ]
--- a/shallotbridge/core/pool.py
+++ b/shallotbridge/core/pool.py
@@ -10,6 +10,7 @@
 
 from . import errors
 from . import http1
+from . import http1_encoding
 
 # Common servers close idle connections after 5 s. Closing earlier on this
 # side keeps a request from being written to a connection that the server
@@ -114,7 +115,7 @@
         errors.AnswerMismatchError, errors.AnswerTooLargeError
             A response arrived but cannot be accepted.
         """
-        data = http1.encode_request(request)
+        data = http1_encoding.encode_request(request)
         progress = _Progress()
         self.in_use += 1
         try:
--- a/shallotbridge/core/serving.py
+++ b/shallotbridge/core/serving.py
@@ -6,6 +6,7 @@
 
 from . import errors
 from . import http1
+from . import http1_encoding
 
 # A client that does not read its answer is disconnected after this time.
 SEND_SECONDS = 30.0
@@ -88,7 +89,7 @@
         try:
             request = await reader.read()
         except errors.FramingError as error:
-            data = http1.encode_response(
+            data = http1_encoding.encode_response(
                 self._refuse(error), is_persistent=False
             )
             with trio.move_on_after(SEND_SECONDS):
@@ -110,7 +111,7 @@
         response, finish = await self._answer(request)
         try:
             is_kept = reader.is_persistent and not self._is_draining
-            data = http1.encode_response(
+            data = http1_encoding.encode_response(
                 response, method=request.method, is_persistent=is_kept
             )
             send_now = getattr(stream, "send_now", None)
--- a/shallotbridge/core/settings.py
+++ b/shallotbridge/core/settings.py
@@ -98,8 +98,8 @@
             continue
         try:
             values_by_name[spec.name] = _parse(spec, text)
-        except ValueError as error:
-            problems.append(_problem(spec, repr(text), str(error)))
+        except errors.SettingValueError as error:
+            problems.append(_problem(spec, repr(text), error.detail))
     problems += _address_problems(values_by_name)
     problems += _port_problems(values_by_name)
     if problems:
@@ -115,9 +115,9 @@
     text = values_by_name.get("statsd_address", "")
     try:
         parse_address(text)
-    except ValueError as error:
+    except errors.SettingValueError as error:
         spec = generated.SPECS_BY_NAME["statsd_address"]
-        yield _problem(spec, repr(text), str(error))
+        yield _problem(spec, repr(text), error.detail)
 
 
 def _port_problems(values_by_name):
@@ -138,8 +138,8 @@
 
     Raises
     ------
-    ValueError
-        The text is neither; the message says what is allowed.
+    errors.SettingValueError
+        The text is neither; the detail says what is allowed.
 
     Examples
     --------
@@ -150,7 +150,9 @@
         return None
     host, _, port = text.rpartition(":")
     if not host or not port.isdecimal() or not 1 <= int(port) <= 65535:
-        raise ValueError("HOST:PORT such as 127.0.0.1:8125, or empty")
+        raise errors.SettingValueError(
+            "HOST:PORT such as 127.0.0.1:8125, or empty"
+        )
     return host, int(port)
 
 
@@ -160,7 +162,7 @@
 
 def _parse_text(spec, text):
     if spec.required and not text:
-        raise ValueError(f"a value such as {spec.example}")
+        raise errors.SettingValueError(f"a value such as {spec.example}")
     return text
 
 
@@ -170,7 +172,7 @@
     try:
         return str(ipaddress.ip_address(text))
     except ValueError:
-        raise ValueError(
+        raise errors.SettingValueError(
             f"an IP address such as {spec.example or '127.0.1.1'}"
         ) from None
 
@@ -182,7 +184,7 @@
             str(ipaddress.ip_address(piece)) for piece in pieces if piece
         )
     except ValueError:
-        raise ValueError(
+        raise errors.SettingValueError(
             f"IP addresses with commas between, such as {spec.example}"
         ) from None
 
@@ -196,7 +198,9 @@
     except ValueError:
         is_allowed = False
     if not is_allowed:
-        raise ValueError(f"an http or https URL such as {spec.example}")
+        raise errors.SettingValueError(
+            f"an http or https URL such as {spec.example}"
+        )
     return text.rstrip("/")
 
 
@@ -210,9 +214,9 @@
     try:
         value = convert(text)
     except ValueError:
-        raise ValueError(limits) from None
+        raise errors.SettingValueError(limits) from None
     if math.isnan(value) or not spec.minimum <= value <= spec.maximum:
-        raise ValueError(limits)
+        raise errors.SettingValueError(limits)
     return value
 
 
--- a/tests/core/streams.py
+++ b/tests/core/streams.py
@@ -4,6 +4,7 @@
 import trio.testing
 
 from shallotbridge.core import http1
+from shallotbridge.core import http1_encoding
 from shallotbridge.core import model
 
 
@@ -89,6 +90,6 @@
         for header in request.headers
         if header.name in ("x-request-id", "x-shallotbridge-request-id")
     )
-    return http1.encode_response(
+    return http1_encoding.encode_response(
         model.Response(status=status, headers=echoed + headers, body=body)
     )
--- a/tests/core/test_entry.py
+++ b/tests/core/test_entry.py
@@ -13,6 +13,7 @@
 from shallotbridge.core import errors
 from shallotbridge.core import forwarding
 from shallotbridge.core import http1
+from shallotbridge.core import http1_encoding
 from shallotbridge.core import model
 from shallotbridge.core import owner
 from shallotbridge.transports import tcp
@@ -135,7 +136,7 @@
             method=method, target=target, headers=tuple(headers), body=b"1"
         )
         async with self.caller() as stream:
-            await stream.send_all(http1.encode_request(request))
+            await stream.send_all(http1_encoding.encode_request(request))
             return await http1.ResponseReader(stream=stream).read(method)
 
     async def browse(self, **own):
--- a/tests/core/test_http1.py
+++ b/tests/core/test_http1.py
@@ -8,6 +8,7 @@
 
 from shallotbridge.core import errors
 from shallotbridge.core import http1
+from shallotbridge.core import http1_encoding
 from shallotbridge.core import model
 from tests.core import streams
 
@@ -199,7 +200,7 @@
     unchanged = await read_answer([head.replace(b"200 OK", b"304 Same")])
     assert unchanged.body == b""
     answer = model.Response(status=200, headers=(), body=b"done")
-    assert http1.encode_response(answer, method="HEAD").endswith(
+    assert http1_encoding.encode_response(answer, method="HEAD").endswith(
         b"content-length: 4\r\n\r\n"
     )
 
@@ -232,8 +233,10 @@
     """Guards against a header value that ends its line."""
     headers = (model.Header(name=name, value=value),)
     with pytest.raises(errors.BadHeaderError):
-        http1.encode_response(model.Response(status=200, headers=headers))
+        http1_encoding.encode_response(
+            model.Response(status=200, headers=headers)
+        )
     with pytest.raises(errors.BadHeaderError):
-        http1.encode_request(
+        http1_encoding.encode_request(
             model.Request(method="GET", target="/ HTTP/1.1", headers=())
         )
--- a/tests/core/test_node.py
+++ b/tests/core/test_node.py
@@ -11,6 +11,7 @@
 from shallotbridge._generated import settings as generated
 from shallotbridge.core import errors
 from shallotbridge.core import http1
+from shallotbridge.core import http1_encoding
 from shallotbridge.core import keys
 from shallotbridge.core import model
 from shallotbridge.core import node as node_module
@@ -113,7 +114,7 @@
             ),
             body=body,
         )
-        await stream.send_all(http1.encode_request(request))
+        await stream.send_all(http1_encoding.encode_request(request))
         return await reader.read("POST")
 
 
--- a/tests/golden/harness.py
+++ b/tests/golden/harness.py
@@ -17,6 +17,7 @@
 from shallotbridge.core import decisions
 from shallotbridge.core import errors
 from shallotbridge.core import http1
+from shallotbridge.core import http1_encoding
 from shallotbridge.core import model
 from shallotbridge.core import node as node_module
 from shallotbridge.core import parts
@@ -580,7 +581,7 @@
         if not is_kept:
             stream = await self.connect(sending.entry)
         try:
-            await stream.send_all(http1.encode_request(request))
+            await stream.send_all(http1_encoding.encode_request(request))
             sending.is_sent = True
             reader = http1.ResponseReader(stream=stream)
             sending.response = await reader.read(request.method)
