Move the messages among a service's nodes out of node.py

The golden sessions depended on the order of tests: eliot replays messages that were logged before the first destination was added, so a session that ran right after tests/core/test_node.py took that test's versions for its own and failed. Change: core/service_messages.py; the harness drops what was logged before.

--- a/shallotbridge/core/node.py
+++ b/shallotbridge/core/node.py
@@ -7,7 +7,6 @@
 import trio
 
 from .._generated import configuration_pb2
-from .._generated import peer_pb2
 from . import convergence
 from . import decisions
 from . import directory
@@ -28,6 +27,7 @@
 from . import probes
 from . import retries
 from . import routing
+from . import service_messages
 from . import startup
 from . import store
 from . import suspects
@@ -40,18 +40,6 @@
 MAXIMUM_UPSTREAM_CONNECTIONS = 1000
 # Health and load probes, one after the other, and an examination.
 PROBE_CONNECTIONS = 2
-CRASH_REPORT_SECONDS = 2.0
-HAND_OVER_SECONDS = 2.0
-HAND_OVER_KEYS = 5_000
-_MILLISECONDS = 1000
-_STATES_BY_KEY_STATE = {
-    keys.KeyState.SEEN: peer_pb2.KeyAnswer.SEEN,
-    keys.KeyState.NOT_SEEN: peer_pb2.KeyAnswer.NOT_SEEN,
-    keys.KeyState.UNCERTAIN: peer_pb2.KeyAnswer.UNCERTAIN,
-}
-_KEY_STATES_BY_STATE = {
-    state: key_state for key_state, state in _STATES_BY_KEY_STATE.items()
-}
 
 
 class Node:
@@ -149,19 +137,29 @@
         )
 
     def _make_admission(self, network):
+        self._service_sender = service_messages.ServiceMessageSender(
+            own_host=self.own_host,
+            hosts=self.hosts,
+            peers=self._peers,
+            spawn=self._spawn,
+            read_uptime=self._uptime,
+        )
         self._keys = keys.KeyWindow(
             own_host=self.own_host,
             hosts_of_service=self.hosts.hosts_of_service,
-            lookup=self._look_up_key,
+            lookup=self._service_sender.look_up_key,
         )
         self._suspects = suspects.SuspectTable()
+        self._service_handler = service_messages.ServiceMessageHandler(
+            own_host=self.own_host, keys=self._keys, suspects=self._suspects
+        )
         self._gate = gate.UpstreamGate(
             own_host=self.own_host,
             configuration=lambda: self.store.configuration,
             keys=self._keys,
             suspects=self._suspects,
             examine=self._examine_upstream,
-            report=self._report_crash,
+            report=self._service_sender.report_crash,
             record=self._record_admission,
         )
         self._probe_pool = pool.ConnectionPool(
@@ -186,7 +184,7 @@
             own_host=self.own_host,
             hosts_of_service=self.hosts.hosts_of_service,
             take_hint=self._keys.take_hint,
-            send=self._send_key_hint,
+            send=self._service_sender.send_key_hint,
             spawn=self._spawn,
         )
         self._owner = owner.OwnerServer(
@@ -321,7 +319,7 @@
         self._entry.begin_drain()
         await self._entry.wait_idle()
         await self._gate.wait_idle()
-        await self._hand_over_keys()
+        await self._service_sender.hand_over_keys(self._keys.plan_hand_over())
         self._owner.begin_drain()
         await self._owner.wait_idle()
         decisions.record("node_drained", chosen=self.own_host.host_id)
@@ -439,168 +437,17 @@
             model.HeadReference(version=head.version, digest=head.digest)
         )
 
-    # Messages of peers.
-
     def _peer_handlers(self):
         return network_module.PeerHandlers(
             sync=self._sync_server.sync,
-            report_crash=self._take_crash_report,
-            lookup_key=self._answer_key_query,
-            hand_over=self._take_hand_over,
+            report_crash=self._service_handler.take_crash_report,
+            lookup_key=self._service_handler.answer_key_query,
+            hand_over=self._service_handler.take_hand_over,
         )
 
-    def _is_of_own_service(self, message):
-        self._peer_bytes["received"] += message.ByteSize()
-        return message.service == self.own_host.service
-
-    async def _take_crash_report(self, report):
-        if self._is_of_own_service(report):
-            self._suspects.on_report(report.fingerprints, report.quarantined)
-
-    async def _answer_key_query(self, query):
-        state = keys.KeyState.UNCERTAIN
-        if self._is_of_own_service(query):
-            state = self._keys.look_up(
-                query.key, query.sender, query.uptime_ms / _MILLISECONDS
-            )
-        answer = peer_pb2.KeyAnswer(state=_STATES_BY_KEY_STATE[state])
-        self._peer_bytes["sent"] += answer.ByteSize()
-        return answer
-
-    async def _take_hand_over(self, message):
-        if not self._is_of_own_service(message):
-            return
-        if message.kind != peer_pb2.KeyHandOver.LEAVING:
-            is_retracted = message.kind == peer_pb2.KeyHandOver.RETRACTION
-            for key in message.keys:
-                self._keys.take_hint(key, is_retracted)
-        else:
-            pairs = list(zip(message.keys, message.ages_ms))
-            self._keys.take_over(
-                [key for key, _ in pairs],
-                [age / _MILLISECONDS for _, age in pairs],
-            )
-            decisions.record(
-                "keys_taken_over", candidates=[message.sender], keys=len(pairs)
-            )
-
-    # Messages to peers.
-
-    async def _look_up_key(self, host, key, timeout):
-        answer = await self._peers.lookup_key(
-            host.address,
-            peer_pb2.KeyQuery(
-                sender=self.own_host.host_id,
-                service=self.own_host.service,
-                key=key,
-                uptime_ms=round(self._uptime() * _MILLISECONDS),
-            ),
-            timeout,
-        )
-        return _KEY_STATES_BY_STATE.get(answer.state, keys.KeyState.UNCERTAIN)
-
-    async def _report_crash(self, finding):
-        """Tell the service's other nodes; ends when all have answered.
-
-        The gate waits for a short time only; the reports go on after it.
-        """
-        is_done = trio.Event()
-        self._nursery.start_soon(self._send_reports, finding, is_done)
-        await is_done.wait()
-
-    async def _send_reports(self, finding, is_done):
-        try:
-            async with trio.open_nursery() as nursery:
-                for host in self._others_of_service():
-                    for fingerprints, is_quarantined in (
-                        (finding.suspects, False),
-                        (finding.quarantined, True),
-                    ):
-                        if fingerprints:
-                            nursery.start_soon(
-                                self._send_report,
-                                host,
-                                fingerprints,
-                                is_quarantined,
-                            )
-        finally:
-            is_done.set()
-
-    async def _send_report(self, host, fingerprints, is_quarantined):
-        report = peer_pb2.CrashReport(
-            sender=self.own_host.host_id,
-            service=self.own_host.service,
-            fingerprints=fingerprints,
-            quarantined=is_quarantined,
-        )
-        try:
-            await self._peers.report_crash(
-                host.address, report, CRASH_REPORT_SECONDS
-            )
-        except errors.PeerUnavailableError as error:
-            decisions.record(
-                "crash_report_failed",
-                candidate=host.host_id,
-                code=error.code,
-                reason=error.detail,
-            )
-
-    def _others_of_service(self):
-        return [
-            host
-            for host in self.hosts.hosts_of_service(self.own_host.service)
-            if host.host_id != self.own_host.host_id
-        ]
-
     def _spawn(self, function, *arguments):
         self._nursery.start_soon(function, *arguments)
 
-    async def _send_key_hint(
-        self, host, service_name, key, is_retracted, timeout
-    ):
-        message = peer_pb2.KeyHandOver(
-            sender=self.own_host.host_id,
-            service=service_name,
-            keys=[key],
-            ages_ms=[0],
-            kind=(
-                peer_pb2.KeyHandOver.RETRACTION
-                if is_retracted
-                else peer_pb2.KeyHandOver.HINT
-            ),
-        )
-        await self._peers.hand_over(host.address, message, timeout)
-
-    async def _hand_over_keys(self):
-        async with trio.open_nursery() as nursery:
-            for host_id, entries in self._keys.plan_hand_over().items():
-                host = self.hosts.hosts_by_id.get(host_id)
-                if host is not None:
-                    nursery.start_soon(self._hand_over_to, host, entries)
-
-    async def _hand_over_to(self, host, entries):
-        for first in range(0, len(entries), HAND_OVER_KEYS):
-            batch = entries[first : first + HAND_OVER_KEYS]
-            message = peer_pb2.KeyHandOver(
-                sender=self.own_host.host_id,
-                service=self.own_host.service,
-                keys=[entry.key for entry in batch],
-                ages_ms=[round(entry.age * _MILLISECONDS) for entry in batch],
-            )
-            reason = "leaving"
-            try:
-                await self._peers.hand_over(
-                    host.address, message, HAND_OVER_SECONDS
-                )
-            except errors.PeerUnavailableError as error:
-                reason = f"failed with {error.code}: {error.detail}"
-            decisions.record(
-                "keys_handed_over",
-                chosen=host.host_id,
-                keys=len(batch),
-                reason=reason,
-            )
-
     # The own upstream.
 
     async def _fetch(self, path):
@@ -681,10 +528,12 @@
         return {
             "sent": self._sync_client.bytes_sent
             + self._sync_server.bytes_sent
+            + self._service_handler.bytes_sent
             + self._peer_bytes["sent"],
             "received": self._sync_client.bytes_received
             + self._sync_server.bytes_received
             + self._reader.bytes_received
+            + self._service_handler.bytes_received
             + self._peer_bytes["received"],
         }
 
--- a/tests/golden/harness.py
+++ b/tests/golden/harness.py
@@ -737,6 +737,10 @@
     )
 
 
+def _discard(message):
+    """Take a message and do nothing with it."""
+
+
 def run(script, *, seed, **options):
     """Run a script in a session and return the transcript.
 
@@ -748,11 +752,15 @@
         async with trio.open_nursery() as nursery:
             session = Session(nursery=nursery, seed=seed, **options)
             nursery.start_soon(_sample, session)
+            # eliot gives the first destination what was logged before it,
+            # such as the messages of other tests.
+            eliot.add_destinations(_discard)
             eliot.add_destinations(session.on_decision)
             try:
                 await script(session)
                 session.finish()
             finally:
+                eliot.remove_destination(_discard)
                 eliot.remove_destination(session.on_decision)
             nursery.cancel_scope.cancel()
         return "\n".join(session.lines) + "\n"
