Count the bytes of service messages where they are sent

Cause: node.py wrapped all peer calls to count bytes, though their sender is a class of its own since the split, and its receiving twin counts itself; the platform's stand-in raised ValueError without a code.

--- a/shallotbridge/core/node.py
+++ b/shallotbridge/core/node.py
@@ -84,7 +84,6 @@
         self._ended = trio.Event()
         self._caller_listener = trio.CancelScope()
         self._connection_scopes = set()
-        self._peer_bytes = {"sent": 0, "received": 0}
         self._timer = convergence.ConvergenceTimer()
         self._budgets_by_service = {}
         self.own_host = model.Host(
@@ -93,7 +92,9 @@
             service=settings.service,
             failure_domain=settings.failure_domain,
         )
-        self._make_distribution(self._counted(peers), self._timed(platform))
+        self._make_distribution(
+            self._seen_by_sync(peers), self._timed(platform)
+        )
         self._make_admission(network)
         self._make_call_path(network)
         self._register_metrics()
@@ -406,31 +407,15 @@
 
         return dataclasses.replace(platform, read=read)
 
-    def _counted(self, peers):
-        """Count the bytes of the messages that the Sync modules do not."""
-
-        def counted(call):
-            async def send(address, message, timeout):
-                self._peer_bytes["sent"] += message.ByteSize()
-                answer = await call(address, message, timeout)
-                if answer is not None:
-                    self._peer_bytes["received"] += answer.ByteSize()
-                return answer
+    def _seen_by_sync(self, peers):
+        """Note when a peer shows a head first."""
 
-            return send
-
-        async def call_sync(address, message, timeout):
+        async def sync_and_note(address, message, timeout):
             reply = await peers.sync(address, message, timeout)
             self._note_seen(reply.head)
             return reply
 
-        return dataclasses.replace(
-            peers,
-            sync=call_sync,
-            report_crash=counted(peers.report_crash),
-            lookup_key=counted(peers.lookup_key),
-            hand_over=counted(peers.hand_over),
-        )
+        return dataclasses.replace(peers, sync=sync_and_note)
 
     def _note_seen(self, head):
         self._timer.on_seen(
@@ -529,12 +514,12 @@
             "sent": self._sync_client.bytes_sent
             + self._sync_server.bytes_sent
             + self._service_handler.bytes_sent
-            + self._peer_bytes["sent"],
+            + self._service_sender.bytes_sent,
             "received": self._sync_client.bytes_received
             + self._sync_server.bytes_received
             + self._reader.bytes_received
             + self._service_handler.bytes_received
-            + self._peer_bytes["received"],
+            + self._service_sender.bytes_received,
         }
 
     def _version_in_force(self):
--- a/shallotbridge/core/service_messages.py
+++ b/shallotbridge/core/service_messages.py
@@ -99,9 +99,16 @@
         background.
     read_uptime : callable
         ``read_uptime()`` returns the seconds since this node started.
+
+    Attributes
+    ----------
+    bytes_sent, bytes_received : int
+        Sizes of the messages, without transport framing.
     """
 
     def __init__(self, *, own_host, hosts, peers, spawn, read_uptime):
+        self.bytes_sent = 0
+        self.bytes_received = 0
         self._own_host = own_host
         self._hosts = hosts
         self._peers = peers
@@ -119,16 +126,15 @@
         ------
         errors.PeerUnavailableError
         """
-        answer = await self._peers.lookup_key(
-            host.address,
-            peer_pb2.KeyQuery(
-                sender=self._own_host.host_id,
-                service=self._own_host.service,
-                key=key,
-                uptime_ms=round(self._read_uptime() * _MILLISECONDS),
-            ),
-            timeout,
+        query = peer_pb2.KeyQuery(
+            sender=self._own_host.host_id,
+            service=self._own_host.service,
+            key=key,
+            uptime_ms=round(self._read_uptime() * _MILLISECONDS),
         )
+        self.bytes_sent += query.ByteSize()
+        answer = await self._peers.lookup_key(host.address, query, timeout)
+        self.bytes_received += answer.ByteSize()
         return _KEY_STATES_BY_STATE.get(
             answer.state, key_window.KeyState.UNCERTAIN
         )
@@ -171,6 +177,7 @@
             fingerprints=fingerprints,
             quarantined=is_quarantined,
         )
+        self.bytes_sent += report.ByteSize()
         try:
             await self._peers.report_crash(
                 host.address, report, CRASH_REPORT_SECONDS
@@ -203,6 +210,7 @@
                 else peer_pb2.KeyHandOver.HINT
             ),
         )
+        self.bytes_sent += message.ByteSize()
         await self._peers.hand_over(host.address, message, timeout)
 
     async def hand_over_keys(self, entries_by_host_id):
@@ -227,6 +235,7 @@
                 keys=[entry.key for entry in batch],
                 ages_ms=[round(entry.age * _MILLISECONDS) for entry in batch],
             )
+            self.bytes_sent += message.ByteSize()
             reason = "leaving"
             try:
                 await self._peers.hand_over(
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -27,6 +27,12 @@
 _MAXIMUM_BODY_BYTES = 64 * 1024 * 1024
 
 
+class ControlError(ValueError):
+    """A test asks the stand-in for what it cannot do."""
+
+    code = "SB-9003"
+
+
 class PlatformState:
     """Values with revisions, limits and faults.
 
@@ -86,7 +92,7 @@
         """
         for key, value in values_by_key.items():
             if value is not None and len(value) > MAXIMUM_VALUE_BYTES:
-                raise ValueError(f"{key}: {len(value)} bytes are too many")
+                raise ControlError(f"{key}: {len(value)} bytes are too many")
         self._revision += 1
         self._values = dict(self._values)
         self._revisions_by_key = dict(self._revisions_by_key)
@@ -105,7 +111,7 @@
     def set_mode(self, mode):
         """Set the mode; see the class."""
         if mode not in ("up", "down", "stale"):
-            raise ValueError(f"mode {mode!r} is none of up, down, stale")
+            raise ControlError(f"mode {mode!r} is none of up, down, stale")
         self._publish_due()
         self.mode = mode
         self._frozen = None
@@ -120,7 +126,7 @@
     def rewind(self, revision):
         """Restore the state of an earlier revision."""
         if revision not in self._history:
-            raise ValueError(f"revision {revision} is not in the history")
+            raise ControlError(f"revision {revision} is not in the history")
         self._values, self._revisions_by_key = self._history[revision]
         self._history = {
             known: state
