--- /dev/null
+++ b/shallotbridge/_generated/link.py
@@ -0,0 +1,199 @@
+"""Messages between nodes, generated from schema/link.toml."""
+
+import msgspec
+
+
+class Work(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag=1,
+    gc=False,
+):
+    """A request that the receiver is to run on its upstream."""
+
+    # chosen by the sender, unique on its connection
+    call_id: int
+    # the instance that was chosen
+    upstream_id: str
+    # service of the route
+    service: str
+    # name of the route
+    route: str
+    # the caller's id of the request
+    request_id: str
+    method: str
+    # path and query
+    target: str
+    # end-to-end headers, names in lower case
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    # time until the caller's deadline or the route's timeout
+    remaining_ms: float
+    # time until the latency objective; negative when missed
+    objective_ms: float
+    # 0 is the most urgent
+    priority: int
+    is_idempotent: bool
+    # usual duration of the route's requests
+    expected_ms: float
+
+
+class Cancel(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag=2,
+    gc=False,
+):
+    """The caller of a request has left."""
+
+    call_id: int
+
+
+class Load(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag=3,
+    gc=False,
+):
+    """What an owner node can take at this moment."""
+
+    # requests that its upstream can run
+    slots: int
+    # slots without a request
+    free: int
+    # expected wait of a new request of middle priority
+    wait_ms: float
+    # false: it takes no work
+    is_open: bool
+    # revision that the sender has
+    position: int
+
+
+class Answer(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag=4,
+    gc=False,
+):
+    """The upstream's whole answer."""
+
+    call_id: int
+    status: int
+    # end-to-end headers
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    # time at the upstream
+    run_ms: float
+    load: Load
+
+
+class Refusal(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag=5,
+    gc=False,
+):
+    """The request has not run here and never will."""
+
+    call_id: int
+    # code of the error
+    code: str
+    detail: str
+    # when a slot is expected to be free
+    retry_after_ms: float
+    # the upstream itself refused it
+    has_arrived: bool
+    load: Load
+
+
+class Failure(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag=6,
+    gc=False,
+):
+    """The request may have run; there is no whole answer."""
+
+    call_id: int
+    # code of the error
+    code: str
+    detail: str
+    load: Load
+
+
+class Ping(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag=7,
+    gc=False,
+):
+    """Asks whether the connection and the peer still work."""
+
+    # revision that the sender has
+    position: int
+
+
+class Pong(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag=8,
+    gc=False,
+):
+    """Answers a Ping."""
+
+    load: Load
+
+
+class Pull(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag=9,
+    gc=False,
+):
+    """Asks for the published items that are newer than a revision."""
+
+    call_id: int
+    # revision that the sender has
+    position: int
+    # how long the answer may wait for news
+    wait_ms: int
+
+
+class PublishedItem(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag=10,
+    gc=False,
+):
+    """One item as the platform published it; no value means deleted."""
+
+    key: str
+    revision: int
+    value: bytes | None
+
+
+class Items(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag=11,
+    gc=False,
+):
+    """Answers a Pull."""
+
+    call_id: int
+    # revision up to which this is complete
+    position: int
+    # true: items not listed do not exist
+    is_whole: bool
+    items: tuple[PublishedItem, ...]
--- a/shallotbridge/core/errors.py
+++ b/shallotbridge/core/errors.py
@@ -170,6 +170,24 @@
     code = "SB-2009"
 
 
+class MalformedEntryError(DistributionError):
+    """An item of the platform does not have the form that it must have."""
+
+    code = "SB-2011"
+
+
+class HistoryLostError(DistributionError):
+    """The platform no longer has the changes since a revision."""
+
+    code = "SB-2013"
+
+
+class MalformedFrameError(DistributionError):
+    """Bytes of another node are not a message."""
+
+    code = "SB-2012"
+
+
 class MalformedHostListError(DistributionError):
     """The platform's host list could not be decoded."""
 
@@ -193,6 +211,10 @@
     is_reset = False
     # Free slots that an owner node reported with its refusal.
     free = None
+    # When the caller may come back, s; None if unknown.
+    retry_after = None
+    # True when the upstream itself refused, so that the request reached it.
+    has_arrived = False
 
 
 class NoRouteError(CallError):
@@ -350,6 +372,13 @@
     code = "SB-3021"
 
 
+class RequestTimeoutError(FramingError):
+    """The request did not arrive whole in time."""
+
+    code = "SB-3022"
+    status = 408
+
+
 # Settings.
 
 
--- a/shallotbridge/core/http1.py
+++ b/shallotbridge/core/http1.py
@@ -83,9 +83,16 @@
 class _MessageReader:
     """Reads messages from a stream and keeps the bytes of the next one."""
 
-    def __init__(self, *, stream, maximum_body_bytes):
+    def __init__(
+        self,
+        *,
+        stream,
+        maximum_body_bytes,
+        maximum_head_bytes=MAXIMUM_HEAD_BYTES,
+    ):
         self._stream = stream
         self._maximum_body_bytes = maximum_body_bytes
+        self._maximum_head_bytes = maximum_head_bytes
         self._buffer = b""
         # Time on trio's clock by which a message must have arrived.
         self._receive_deadline = math.inf
@@ -101,9 +108,8 @@
             return await self._stream.receive_some(_RECEIVE_BYTES)
         with trio.CancelScope(deadline=self._receive_deadline):
             return await self._stream.receive_some(_RECEIVE_BYTES)
-        raise errors.FramingError(
-            f"the request did not arrive within {HEAD_SECONDS} s (head) and "
-            f"{BODY_SECONDS} s (body)"
+        raise errors.RequestTimeoutError(
+            "the request did not arrive within the time for its head or body"
         )
 
     async def _read_head(self):
@@ -118,7 +124,9 @@
             end = buffer.find(_HEAD_END, max(0, checked - 3))
             stop = len(buffer) if end < 0 else end + len(_HEAD_END)
             found = _BAD_HEAD_BYTES.search(
-                buffer, max(0, checked - 2), min(stop, MAXIMUM_HEAD_BYTES)
+                buffer,
+                max(0, checked - 2),
+                min(stop, self._maximum_head_bytes),
             )
             if found:
                 raise self._malformed(
@@ -126,7 +134,7 @@
                     f"{found.group()!r}; allowed: lines that end in CRLF, "
                     "without folding and control characters"
                 )
-            if stop > MAXIMUM_HEAD_BYTES:
+            if stop > self._maximum_head_bytes:
                 raise self._head_too_large()
             if end >= 0:
                 self._buffer = buffer[stop:]
@@ -255,6 +263,10 @@
     Parameters
     ----------
     stream : trio.abc.Stream
+    maximum_head_bytes : int
+    maximum_body_bytes : int
+    head_seconds : float
+        Time from the first byte of a head to its last one.
 
     Attributes
     ----------
@@ -262,10 +274,20 @@
         Whether the client keeps the connection after the last request.
     """
 
-    def __init__(self, *, stream):
+    def __init__(
+        self,
+        *,
+        stream,
+        maximum_head_bytes=MAXIMUM_HEAD_BYTES,
+        maximum_body_bytes=MAXIMUM_REQUEST_BODY_BYTES,
+        head_seconds=HEAD_SECONDS,
+    ):
         super().__init__(
-            stream=stream, maximum_body_bytes=MAXIMUM_REQUEST_BODY_BYTES
+            stream=stream,
+            maximum_body_bytes=maximum_body_bytes,
+            maximum_head_bytes=maximum_head_bytes,
         )
+        self._head_seconds = head_seconds
 
     async def wait_request(self):
         """Wait for the first byte of a request.
@@ -299,7 +321,7 @@
         errors.FramingError
             Or one of its subtypes; the connection must be closed.
         """
-        self._receive_deadline = trio.current_time() + HEAD_SECONDS
+        self._receive_deadline = trio.current_time() + self._head_seconds
         try:
             return await self._read()
         finally:
@@ -395,7 +417,8 @@
 
     def _head_too_large(self):
         return errors.HeadTooLargeError(
-            f"the head exceeds {MAXIMUM_HEAD_BYTES} bytes; send fewer headers"
+            f"the head exceeds {self._maximum_head_bytes} bytes; send fewer "
+            "headers"
         )
 
     def _body_too_large(self, size):
@@ -411,6 +434,11 @@
     Parameters
     ----------
     stream : trio.abc.Stream
+    accepts_unframed : bool
+        Whether the end of the connection may end a body.
+    accepts_extra_bytes : bool
+        Whether a whole response counts although bytes follow it; the
+        connection is then not used again.
 
     Attributes
     ----------
@@ -418,10 +446,14 @@
         Whether the connection may be used for another request.
     """
 
-    def __init__(self, *, stream):
+    def __init__(
+        self, *, stream, accepts_unframed=False, accepts_extra_bytes=False
+    ):
         super().__init__(
             stream=stream, maximum_body_bytes=MAXIMUM_RESPONSE_BODY_BYTES
         )
+        self._accepts_unframed = accepts_unframed
+        self._accepts_extra_bytes = accepts_extra_bytes
 
     async def read(self, method):
         """Return the response to a request of a method, whole.
@@ -465,21 +497,38 @@
             body = await self._read_chunked(parser, parsed)
         elif length >= 0:
             body = await self._read_sized(length)
+        elif self._accepts_unframed:
+            body = await self._read_to_end()
         else:
             # Only the end of the connection would end it, which cannot be
             # told from a lost connection.
             raise self._malformed(
                 "neither content-length nor transfer-encoding; allowed: one"
             )
-        if self._buffer:
+        if self._buffer and not self._accepts_extra_bytes:
             raise self._malformed(
                 f"{len(self._buffer)} bytes follow the complete response"
             )
-        self.is_persistent = self._is_persistent(parsed, version)
+        self.is_persistent = (
+            self._is_persistent(parsed, version)
+            and not self._buffer
+            and (length is None or length >= 0 or not has_body)
+        )
         return model.Response(
             status=status, headers=tuple(parsed.fields), body=body
         )
 
+    async def _read_to_end(self):
+        pieces = [self._buffer]
+        size = len(self._buffer)
+        self._buffer = b""
+        while received := await self._receive():
+            pieces.append(received)
+            size += len(received)
+            if size > self._maximum_body_bytes:
+                raise self._body_too_large(size)
+        return b"".join(pieces)
+
     def _malformed(self, detail):
         return errors.AnswerMismatchError(f"response: {detail}")
 
--- /dev/null
+++ b/shallotbridge/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""How the published configuration and the upstreams reach a node."""
--- /dev/null
+++ b/shallotbridge/distribution/follower.py
@@ -0,0 +1,320 @@
+"""Follows the published items, at the platform or at other nodes."""
+
+import functools
+import hashlib
+import math
+
+import trio
+
+from .._generated import link
+from ..core import decisions
+from ..core import errors
+
+# Nodes of a failure domain that watch the platform; the others ask them.
+READERS_PER_DOMAIN = 3
+# Time that a watch waits at the platform for news, s. A lost answer is
+# noticed after it, and each watch costs a call.
+WATCH_SECONDS = 4.0
+# After news, time in which further changes are gathered into one call, s.
+GATHER_SECONDS = 0.2
+# Time between attempts while the platform is unavailable, s.
+RETRY_SECONDS = 0.3
+MAXIMUM_RETRY_SECONDS = 1.0
+# A peer is asked for its revision this often, s, and asked for its items if
+# it is still ahead after the delay.
+GOSSIP_SECONDS = 0.5
+CATCH_UP_DELAY_SECONDS = 0.3
+# Longest time that a pull waits at a reader for news, s.
+PULL_WAIT_SECONDS = 5.0
+PULL_TIMEOUT_SECONDS = 1.5
+
+
+class Follower:
+    """Keeps a mirror up to date.
+
+    Parameters
+    ----------
+    mirror : mirror.ItemMirror
+    read_all : callable
+        ``await read_all()`` returns items and their revision.
+    watch : callable
+        ``await watch(position, seconds)`` returns changes and their
+        revision; raises ``HistoryLostError``.
+    on_change : callable
+        Called without arguments after the mirror has changed.
+    own_address : str
+    own_domain : str
+    peers_of : callable
+        ``peers_of()`` returns pairs of address and failure domain of the
+        other nodes.
+    links : callable
+        ``links(address)`` returns the ``PeerLink`` to a node.
+    random : random.Random
+    record : callable
+        ``record(action, **fields)`` writes the decision log.
+
+    Attributes
+    ----------
+    unavailable_at : float
+        When the platform was last found unavailable, on trio's clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        mirror,
+        read_all,
+        watch,
+        on_change,
+        own_address,
+        own_domain,
+        peers_of,
+        links,
+        random,
+        record=decisions.record,
+    ):
+        self._mirror = mirror
+        self._read_all = read_all
+        self._watch = watch
+        self._on_change = on_change
+        self._own_address = own_address
+        self._own_domain = own_domain
+        self._peers_of = peers_of
+        self._links = links
+        self._random = random
+        self._record = record
+        self._is_available = True
+        self._changed = trio.Event()
+        self._ahead = None
+        self._ahead_event = trio.Event()
+        self.unavailable_at = -math.inf
+        self.call_count = 0
+
+    async def run(self):
+        """Follow the published items until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow)
+            nursery.start_soon(self._catch_up)
+            nursery.start_soon(self._gossip)
+
+    async def _follow(self):
+        failures = 0
+        while True:
+            try:
+                if self._mirror.position == 0:
+                    await self._read_whole()
+                elif self.is_reader():
+                    await self._watch_once()
+                else:
+                    await self._pull_from_reader()
+            except errors.HistoryLostError:
+                await self._read_whole_again()
+            except errors.PlatformUnavailableError as error:
+                failures += 1
+                self._note_unavailable(error)
+                delay = min(
+                    MAXIMUM_RETRY_SECONDS,
+                    RETRY_SECONDS * 1.5 ** (failures - 1),
+                )
+                await trio.sleep(delay * (0.75 + 0.5 * self._random.random()))
+            else:
+                failures = 0
+
+    def is_reader(self):
+        """Tell whether this node watches the platform itself."""
+        ranked = self._ranked_domain()
+        return (
+            self._own_address not in ranked
+            or self._own_address in ranked[:READERS_PER_DOMAIN]
+        )
+
+    def _ranked_domain(self):
+        addresses = [
+            address
+            for address, failure_domain in self._peers_of()
+            if failure_domain == self._own_domain
+        ]
+        return sorted({*addresses, self._own_address}, key=_rank)
+
+    async def _read_whole(self):
+        self.call_count += 1
+        items, position = await self._read_all()
+        self._note_available()
+        self._mirror.replace(items, position)
+        self._notify()
+
+    async def _read_whole_again(self):
+        self._record("history_lost", position=self._mirror.position)
+        try:
+            await self._read_whole()
+        except errors.PlatformUnavailableError as error:
+            self._note_unavailable(error)
+            await trio.sleep(RETRY_SECONDS)
+
+    async def _watch_once(self):
+        self.call_count += 1
+        items, position = await self._watch(
+            self._mirror.position, WATCH_SECONDS
+        )
+        self._note_available()
+        if items:
+            self._mirror.apply(items, position)
+            self._notify()
+            await trio.sleep(GATHER_SECONDS)
+
+    async def _pull_from_reader(self):
+        readers = self._ranked_domain()[:READERS_PER_DOMAIN]
+        self._random.shuffle(readers)
+        for address in readers:
+            try:
+                await self.pull(address, PULL_WAIT_SECONDS)
+            except errors.CallError as error:
+                self._record(
+                    "pull_failed",
+                    peer=address,
+                    code=error.code,
+                    detail=error.detail,
+                )
+            else:
+                await trio.sleep(GATHER_SECONDS)
+                return
+        await self._watch_once()
+
+    async def pull(self, address, wait_seconds):
+        """Ask a node for what is newer than the own revision.
+
+        Raises
+        ------
+        errors.CallError
+            The node could not be reached or did not answer.
+        """
+        peer = self._links(address)
+        position = self._mirror.position
+        with trio.move_on_after(wait_seconds + PULL_TIMEOUT_SECONDS):
+            reply = await peer.exchange(
+                link.Pull(
+                    call_id=peer.next_call_id(),
+                    position=position,
+                    wait_ms=int(wait_seconds * 1000),
+                )
+            )
+            self._take(reply, address)
+            return
+        raise errors.OutcomeUnknownError(
+            f"the node at {address} did not answer a pull"
+        )
+
+    def _take(self, reply, address):
+        if reply.position <= self._mirror.position:
+            return
+        self._record(
+            "items_pulled",
+            peer=address,
+            position=reply.position,
+            previous=self._mirror.position,
+            items=len(reply.items),
+            is_whole=reply.is_whole,
+        )
+        if reply.is_whole:
+            self._mirror.replace(reply.items, reply.position)
+        else:
+            self._mirror.apply(reply.items, reply.position)
+        self._notify()
+
+    async def answer_pull(self, pull):
+        """Return the ``link.Items`` that answer another node's pull."""
+        with trio.move_on_after(pull.wait_ms / 1000):
+            while self._mirror.position <= pull.position:
+                await self._changed.wait()
+        position = self._mirror.position
+        is_whole, items = False, ()
+        if position > pull.position:
+            is_whole, items = self._mirror.changes_since(pull.position)
+        return link.Items(
+            call_id=pull.call_id,
+            position=position,
+            is_whole=is_whole,
+            items=tuple(items),
+        )
+
+    def on_position(self, address, position):
+        """Note the revision of another node."""
+        if position > self._mirror.position and (
+            self._ahead is None or position > self._ahead[1]
+        ):
+            self._ahead = (address, position)
+            self._ahead_event.set()
+
+    async def _catch_up(self):
+        """Pull from a node that stays ahead of this one."""
+        while True:
+            await self._ahead_event.wait()
+            await trio.sleep(CATCH_UP_DELAY_SECONDS)
+            address, position = self._ahead
+            self._ahead = None
+            self._ahead_event = trio.Event()
+            if position <= self._mirror.position:
+                continue
+            try:
+                await self.pull(address, 0.0)
+            except errors.CallError as error:
+                self._record(
+                    "pull_failed",
+                    peer=address,
+                    code=error.code,
+                    detail=error.detail,
+                )
+
+    async def _gossip(self):
+        """Learn from a random node whether this one is behind."""
+        while True:
+            await trio.sleep(
+                GOSSIP_SECONDS * (0.75 + 0.5 * self._random.random())
+            )
+            addresses = [
+                address
+                for address, _ in self._peers_of()
+                if address != self._own_address
+            ]
+            if not addresses:
+                continue
+            peer = self._links(self._random.choice(addresses))
+            try:
+                await peer.connect()
+            except errors.CallError:
+                # The link itself reports that it cannot connect.
+                continue
+            peer.ping()
+
+    def _notify(self):
+        self._changed.set()
+        self._changed = trio.Event()
+        self._on_change()
+
+    def _note_unavailable(self, error):
+        self.unavailable_at = trio.current_time()
+        if self._is_available:
+            self._is_available = False
+            self._record(
+                "platform_lost",
+                code=error.code,
+                detail=error.detail,
+                position=self._mirror.position,
+            )
+
+    def _note_available(self):
+        if not self._is_available:
+            self._is_available = True
+            self.unavailable_at = trio.current_time()
+            self._record("platform_regained", position=self._mirror.position)
+
+    @property
+    def is_available(self):
+        """Whether the last call to the platform was answered."""
+        return self._is_available
+
+
+@functools.lru_cache(maxsize=16384)
+def _rank(address):
+    """Return a node's place among the candidates for reading."""
+    return hashlib.blake2b(address.encode(), digest_size=8).digest()
--- /dev/null
+++ b/shallotbridge/distribution/views.py
@@ -0,0 +1,153 @@
+"""Makes a checked view of the published items."""
+
+import types
+
+from ..core import decisions
+from ..core import errors
+from ..traffic import model
+
+# Entries that lapsed while the platform was away are back this long after
+# its return if their upstream lives, s. The platform's pages state 2 s.
+LAPSED_SECONDS = 2.0
+
+
+class ViewBuilder:
+    """Keeps the ``MeshView`` in force.
+
+    Parameters
+    ----------
+    decode : callable
+        ``decode(key, value)`` returns a ``model.Configuration``, a
+        ``model.Upstream``, the name of a failure domain that is out of
+        service, or None for a key without meaning; it raises
+        ``errors.DistributionError``.
+    record : callable
+        ``record(action, **fields)`` writes the decision log.
+
+    Attributes
+    ----------
+    view : model.MeshView
+    """
+
+    def __init__(self, *, decode, record=decisions.record):
+        self._decode = decode
+        self._record = record
+        # For each key its revision and what it says, or None.
+        self._decoded_by_key = {}
+        self._lapsed_by_id = {}
+        self.view = model.EMPTY_VIEW
+
+    def update(self, items_by_key, *, now, outage_ended_at):
+        """Decode what is new and put the next view in force.
+
+        Parameters
+        ----------
+        items_by_key : mapping of str to link.PublishedItem
+        now : float
+        outage_ended_at : float
+            When the platform was last found unavailable; entries that are
+            removed soon after that may only have lapsed.
+
+        Returns
+        -------
+        float or None
+            When to update again although nothing was published.
+        """
+        configuration = self.view.configuration
+        upstreams_by_id = {}
+        domains_out = set()
+        for key in self._decoded_by_key.keys() - items_by_key.keys():
+            del self._decoded_by_key[key]
+        for item in items_by_key.values():
+            content = self._content(item)
+            if isinstance(content, model.Upstream):
+                upstreams_by_id[content.upstream_id] = content
+            elif isinstance(content, str):
+                domains_out.add(content)
+            elif content is not None:
+                configuration = self._newer(configuration, content)
+        again_at = self._keep_lapsed(upstreams_by_id, now, outage_ended_at)
+        self._record_changes(upstreams_by_id, domains_out)
+        self.view = model.MeshView(
+            configuration=configuration,
+            upstreams_by_id=types.MappingProxyType(upstreams_by_id),
+            domains_out=frozenset(domains_out),
+        )
+        return again_at
+
+    def _content(self, item):
+        known = self._decoded_by_key.get(item.key)
+        if known is not None and known[0] == item.revision:
+            return known[1]
+        content = None
+        try:
+            content = self._decode(item.key, item.value)
+        except errors.DistributionError as error:
+            self._record(
+                "item_rejected",
+                key=item.key,
+                revision=item.revision,
+                code=error.code,
+                detail=error.detail,
+            )
+        self._decoded_by_key[item.key] = (item.revision, content)
+        return content
+
+    def _newer(self, known, found):
+        """Return the configuration that is in force; it never goes back."""
+        if known is not None and found.version <= known.version:
+            if found.version < known.version:
+                self._record(
+                    "configuration_ignored",
+                    chosen=known.version,
+                    found=found.version,
+                    reason="older than the version in force",
+                )
+            return known
+        self._record(
+            "configuration_applied",
+            chosen=found.version,
+            previous=None if known is None else known.version,
+            hosts=len(found.routes_by_host),
+            services=len(found.services_by_name),
+        )
+        return found
+
+    def _keep_lapsed(self, upstreams_by_id, now, outage_ended_at):
+        """Keep upstreams whose entries may come back."""
+        until = outage_ended_at + LAPSED_SECONDS
+        for upstream_id, upstream in self.view.upstreams_by_id.items():
+            if upstream_id in upstreams_by_id:
+                self._lapsed_by_id.pop(upstream_id, None)
+            elif now < until and not upstream.is_draining:
+                self._lapsed_by_id.setdefault(upstream_id, upstream)
+        if now >= until:
+            self._lapsed_by_id.clear()
+            return None
+        if not self._lapsed_by_id:
+            return None
+        upstreams_by_id.update(self._lapsed_by_id)
+        return until
+
+    def _record_changes(self, upstreams_by_id, domains_out):
+        previous = self.view
+        known = previous.upstreams_by_id
+        for upstream_id, upstream in upstreams_by_id.items():
+            before = known.get(upstream_id)
+            if before is None or before.is_draining != upstream.is_draining:
+                self._record(
+                    "upstream_changed",
+                    chosen=upstream_id,
+                    service=upstream.service,
+                    address=upstream.address,
+                    failure_domain=upstream.failure_domain,
+                    is_draining=upstream.is_draining,
+                )
+        for upstream_id in known.keys() - upstreams_by_id.keys():
+            self._record("upstream_removed", chosen=upstream_id)
+        if previous.domains_out != domains_out:
+            self._record(
+                "domains_out",
+                chosen=sorted(domains_out),
+                previous=sorted(previous.domains_out),
+            )
--- /dev/null
+++ b/shallotbridge/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between nodes."""
--- /dev/null
+++ b/shallotbridge/peers/frames.py
@@ -0,0 +1,126 @@
+"""Frames of messages between nodes: a length and a MessagePack array."""
+
+import collections
+import typing
+
+import msgspec
+import trio
+
+from .._generated import link
+from ..core import errors
+
+# A body of the largest request that a configuration may allow, and its head.
+MAXIMUM_FRAME_BYTES = 72 * 1024 * 1024
+_RECEIVE_BYTES = 64 * 1024
+_LENGTH_BYTES = 4
+
+Message = typing.Union[
+    link.Work,
+    link.Cancel,
+    link.Answer,
+    link.Refusal,
+    link.Failure,
+    link.Ping,
+    link.Pong,
+    link.Pull,
+    link.Items,
+]
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Message)
+
+
+def encode_frame(message):
+    """Return the bytes of a frame.
+
+    Examples
+    --------
+    >>> encode_frame(link.Cancel(call_id=7)).hex()
+    '00000003920207'
+    """
+    content = _encoder.encode(message)
+    return len(content).to_bytes(_LENGTH_BYTES, "big") + content
+
+
+class FrameReader:
+    """Reads the messages of one connection."""
+
+    def __init__(self, *, stream):
+        self._stream = stream
+        self._buffer = bytearray()
+        self.bytes_received = 0
+
+    async def read(self):
+        """Return the next message, or None at the end of the stream.
+
+        Raises
+        ------
+        errors.MalformedFrameError
+            The connection must be closed.
+        """
+        buffer = self._buffer
+        while True:
+            if len(buffer) >= _LENGTH_BYTES:
+                end = _LENGTH_BYTES + int.from_bytes(
+                    buffer[:_LENGTH_BYTES], "big"
+                )
+                if end > MAXIMUM_FRAME_BYTES:
+                    raise errors.MalformedFrameError(
+                        f"a frame of {end} bytes; allowed: "
+                        f"{MAXIMUM_FRAME_BYTES}"
+                    )
+                if len(buffer) >= end:
+                    content = bytes(buffer[_LENGTH_BYTES:end])
+                    del buffer[:end]
+                    return _decode(content)
+            received = await self._stream.receive_some(_RECEIVE_BYTES)
+            if not received:
+                return None
+            self.bytes_received += len(received)
+            buffer += received
+
+
+def _decode(content):
+    try:
+        return _decoder.decode(content)
+    except msgspec.MsgspecError as error:
+        raise errors.MalformedFrameError(str(error)) from error
+
+
+class Outbox:
+    """Sends the frames of many tasks on one stream without mixing them.
+
+    A frame that the socket takes at once is sent without a task switch.
+    """
+
+    def __init__(self, *, stream):
+        self._stream = stream
+        self._pending = collections.deque()
+        self._has_pending = trio.Event()
+        self.bytes_sent = 0
+
+    def send(self, message):
+        """Send a message now, or queue what the socket does not take.
+
+        Raises
+        ------
+        trio.BrokenResourceError
+            The connection is broken; nothing of the message was sent.
+        """
+        data = encode_frame(message)
+        self.bytes_sent += len(data)
+        if not self._pending:
+            sent = self._stream.send_now(data)
+            if sent == len(data):
+                return
+            data = memoryview(data)[sent:]
+        self._pending.append(data)
+        self._has_pending.set()
+
+    async def run(self):
+        """Send what is queued until cancelled."""
+        while True:
+            await self._has_pending.wait()
+            while self._pending:
+                await self._stream.send_all(self._pending[0])
+                self._pending.popleft()
+            self._has_pending = trio.Event()
--- /dev/null
+++ b/shallotbridge/peers/server.py
@@ -0,0 +1,99 @@
+"""Serves the other nodes: runs their requests and answers their pulls."""
+
+import trio
+
+from .._generated import link
+from ..core import decisions
+from ..core import errors
+from . import frames
+
+
+class PeerServer:
+    """Serves the connections of other nodes.
+
+    Parameters
+    ----------
+    run_work : callable
+        ``await run_work(work)`` returns an Answer, Refusal or Failure.
+    answer_pull : callable
+        ``await answer_pull(pull)`` returns Items.
+    read_load : callable
+        Returns the ``link.Load`` of this node.
+    on_position : callable
+        ``on_position(address, position)``: a peer has this revision.
+    """
+
+    def __init__(self, *, run_work, answer_pull, read_load, on_position):
+        self._run_work = run_work
+        self._answer_pull = answer_pull
+        self._read_load = read_load
+        self._on_position = on_position
+        self.connection_count = 0
+
+    async def handle(self, stream):
+        """Serve a connection until it ends; its requests end with it."""
+        self.connection_count += 1
+        outbox = frames.Outbox(stream=stream)
+        reader = frames.FrameReader(stream=stream)
+        scopes_by_call = {}
+        reason = "closed by the peer"
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(outbox.run)
+                while True:
+                    message = await reader.read()
+                    if message is None:
+                        break
+                    self._take(
+                        message, stream, outbox, nursery, scopes_by_call
+                    )
+                nursery.cancel_scope.cancel()
+        except* (trio.BrokenResourceError, trio.ClosedResourceError) as group:
+            reason = str(group.exceptions[0])
+        except* errors.MalformedFrameError as group:
+            reason = str(group.exceptions[0])
+        finally:
+            self.connection_count -= 1
+            if scopes_by_call:
+                decisions.record(
+                    "peer_connection_lost",
+                    peer=stream.peer_address,
+                    reason=reason,
+                    interrupted=len(scopes_by_call),
+                )
+
+    def _take(self, message, stream, outbox, nursery, scopes_by_call):
+        kind = type(message)
+        if kind is link.Work:
+            scope = trio.CancelScope()
+            scopes_by_call[message.call_id] = scope
+            nursery.start_soon(
+                self._run, message, outbox, scope, scopes_by_call
+            )
+        elif kind is link.Cancel:
+            scope = scopes_by_call.get(message.call_id)
+            if scope is not None:
+                scope.cancel()
+        elif kind is link.Ping:
+            self._on_position(stream.peer_address, message.position)
+            outbox.send(link.Pong(load=self._read_load()))
+        elif kind is link.Pull:
+            nursery.start_soon(self._serve_pull, message, outbox)
+
+    async def _run(self, work, outbox, scope, scopes_by_call):
+        try:
+            with scope:
+                reply = await self._run_work(work)
+                outbox.send(reply)
+        except trio.BrokenResourceError:
+            # The reader of the connection ends it.
+            pass
+        finally:
+            scopes_by_call.pop(work.call_id, None)
+
+    async def _serve_pull(self, pull, outbox):
+        try:
+            outbox.send(await self._answer_pull(pull))
+        except trio.BrokenResourceError:
+            # The reader of the connection ends it.
+            pass
--- /dev/null
+++ b/shallotbridge/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: the only place that knows its names."""
--- /dev/null
+++ b/shallotbridge/platform/durations.py
@@ -0,0 +1,28 @@
+"""Durations as the platform writes them."""
+
+import re
+
+from ..core import errors
+
+_DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)", re.ASCII)
+_SECONDS_BY_UNIT = {"ms": 0.001, "s": 1.0}
+
+
+def parse_duration(text):
+    """Return the seconds of a number with its unit.
+
+    Raises
+    ------
+    errors.MalformedEntryError
+
+    Examples
+    --------
+    >>> parse_duration("1500ms"), parse_duration("2.5s")
+    (1.5, 2.5)
+    """
+    found = _DURATION.fullmatch(text) if isinstance(text, str) else None
+    if found is None:
+        raise errors.MalformedEntryError(
+            f"duration {text!r}; expected a number with ms or s, as in 1500ms"
+        )
+    return float(found[1]) * _SECONDS_BY_UNIT[found[2]]
--- /dev/null
+++ b/shallotbridge/platform/names.py
@@ -0,0 +1,15 @@
+"""Headers and paths of the platform's protocols."""
+
+from ..traffic import model
+
+HEADER_NAMES = model.HeaderNames(
+    request_id="attempt-id",
+    deadline="deadline-remaining",
+    signature="server-signature",
+    expected_instance="target-instance",
+    not_run="not-executed",
+    caller_service="caller-service",
+    instance="instance-id",
+    cold="cold-remaining",
+)
+READY_PATH = "/v1/readiness"
--- /dev/null
+++ b/shallotbridge/platform/store.py
@@ -0,0 +1,161 @@
+"""Client of the platform's store, which can only be read."""
+
+import base64
+import binascii
+import urllib.parse
+
+import msgspec
+import trio
+
+from .._generated import link
+from ..core import errors
+from . import names
+from ..traffic import upstream_client
+
+# A range or watch answer that takes longer than this, beyond the time that a
+# watch waits, is given up, s. The store answers in 4 ms; on slow days in
+# some hundred ms.
+ANSWER_SECONDS = 1.2
+
+
+class _Item(msgspec.Struct):
+    key: str
+    revision: int
+    # Base64; absent in events of deletions.
+    value: str | None = None
+    deleted: bool = False
+
+
+class _Range(msgspec.Struct):
+    items: list[_Item]
+    # The store's revision when it made this page.
+    at: int
+    has_more: bool = False
+
+
+class _Events(msgspec.Struct):
+    events: list[_Item]
+    at: int
+
+
+class Store:
+    """Reads and watches the platform's store.
+
+    Parameters
+    ----------
+    open_stream : callable
+        ``await open_stream(address, port)``.
+    address : str
+    port : int
+    """
+
+    def __init__(self, *, open_stream, address, port):
+        self._host = f"{address}:{port}"
+        self._client = upstream_client.UpstreamClient(
+            open_stream=open_stream,
+            address=address,
+            port=port,
+            names=names.HEADER_NAMES,
+        )
+
+    async def read_all(self):
+        """Return all items and the revision from which to watch.
+
+        Pages are not a snapshot, so the watch starts at the first page.
+
+        Raises
+        ------
+        errors.PlatformUnavailableError
+        """
+        items = []
+        position = None
+        after = ""
+        while True:
+            page = await self._get(
+                "/v1/kv-range",
+                {"after": after},
+                _Range,
+                ANSWER_SECONDS,
+            )
+            if position is None:
+                position = page.at
+            items.extend(_published(item) for item in page.items)
+            if not page.has_more or not page.items:
+                return items, position
+            after = page.items[-1].key
+
+    async def watch(self, position, seconds):
+        """Return the changes after a revision, and the newest revision.
+
+        Parameters
+        ----------
+        position : int
+        seconds : float
+            How long to wait for a change.
+
+        Raises
+        ------
+        errors.HistoryLostError
+        errors.PlatformUnavailableError
+        """
+        answer = await self._get(
+            "/v1/kv-watch",
+            {
+                "after": str(position),
+                "wait_timeout_ms": str(int(seconds * 1000)),
+            },
+            _Events,
+            seconds + ANSWER_SECONDS,
+        )
+        return [_published(item) for item in answer.events], answer.at
+
+    async def _get(self, path, query, answer_type, seconds):
+        parameters = {name: text for name, text in query.items() if text}
+        # The empty prefix names all items; one watch covers everything.
+        target = f"{path}?path_prefix="
+        if parameters:
+            target += "&" + urllib.parse.urlencode(parameters)
+        request = upstream_client.make_request(
+            method="GET", target=target, headers=(("host", self._host),)
+        )
+        try:
+            response = await self._client.exchange(
+                request, deadline_at=trio.current_time() + seconds
+            )
+        except errors.CallError as error:
+            raise errors.PlatformUnavailableError(
+                f"GET {path}: {error.detail}"
+            ) from error
+        if response.status == 410:
+            raise errors.HistoryLostError(f"GET {target}: 410")
+        if response.status == 429:
+            raise errors.PlatformRateError(f"GET {path}: 429")
+        if response.status != 200:
+            raise errors.PlatformUnavailableError(
+                f"GET {path}: status {response.status}"
+            )
+        try:
+            return msgspec.json.decode(response.body, type=answer_type)
+        except msgspec.MsgspecError as error:
+            raise errors.PlatformUnavailableError(
+                f"GET {path}: {error}"
+            ) from error
+
+    def close(self):
+        """Close the connections."""
+        self._client.close()
+
+
+def _published(item):
+    """Return an item in the project's form; bytes that are no base64 stay."""
+    if item.deleted or item.value is None:
+        value = None
+    else:
+        try:
+            value = base64.b64decode(item.value, validate=True)
+        except (binascii.Error, ValueError):
+            # Another writer's; decoding it as an entry reports it.
+            value = item.value.encode()
+    return link.PublishedItem(
+        key=item.key, revision=item.revision, value=value
+    )
--- /dev/null
+++ b/shallotbridge/traffic/__init__.py
@@ -0,0 +1,1 @@
+"""Routing, admission, limits and retries of requests."""
--- /dev/null
+++ b/shallotbridge/traffic/entry.py
@@ -0,0 +1,491 @@
+"""The entry node: from a client's request to its whole answer."""
+
+import trio
+
+from .._generated import link
+from ..core import decisions
+from ..core import errors
+from ..core import http1_encoding
+from ..core import model as messages
+from . import routing
+
+# Owner nodes that may refuse a request before it goes back to its client.
+MAXIMUM_OFFERS = 4
+# Longest deadline that is believed, s; without one the route's timeout holds.
+MAXIMUM_DEADLINE_SECONDS = 3600.0
+# An owner node ends a request at its deadline; this much later the entry
+# node stops waiting for its reply, s.
+REPLY_MARGIN_SECONDS = 0.1
+# Time after which a client may come back if no owner node named one, s.
+DEFAULT_RETRY_AFTER_SECONDS = 0.25
+# Share of the time after which refused clients come back that is random, so
+# that they do not come back together.
+RETRY_AFTER_SPREAD = 0.5
+# A repeat of a request that is still worth it has this share of the usual
+# duration left.
+REPEAT_SHARE = 0.8
+_RETRY_AFTER = "retry-after"
+_UPSTREAM_ERROR = 500
+
+
+class EntryServer:
+    """Answers the requests of clients.
+
+    Parameters
+    ----------
+    own_host : model.OwnHost
+    names : model.HeaderNames
+    read_view : callable
+        Returns the ``model.MeshView`` in force.
+    selector : selection.Selector
+    splits : routing.SplitCounters
+    run_local : callable
+        ``await run_local(work)`` of the node's own ``OwnerServer``.
+    links : callable
+        ``links(address)`` returns the ``PeerLink`` to a node.
+    budget_of : callable
+        ``budget_of(service)`` returns its ``RetryBudget``.
+    random : random.Random
+    count : callable
+        ``count(name)`` and ``count(name, seconds)`` for metrics.
+    record : callable
+        ``record(action, **fields)`` writes the decision log.
+    """
+
+    def __init__(
+        self,
+        *,
+        own_host,
+        names,
+        read_view,
+        selector,
+        splits,
+        run_local,
+        links,
+        budget_of,
+        random,
+        count,
+        record=decisions.record,
+    ):
+        self._own_host = own_host
+        self._names = names
+        self._read_view = read_view
+        self._selector = selector
+        self._splits = splits
+        self._run_local = run_local
+        self._links = links
+        self._budget_of = budget_of
+        self._random = random
+        self._count = count
+        self._record = record
+        self._own_names = frozenset(
+            {
+                names.deadline,
+                names.expected_instance,
+                names.not_run,
+                names.caller_service,
+                names.signature,
+                names.instance,
+            }
+        )
+
+    async def answer(self, request):
+        """Return the response to a client's request."""
+        started = trio.current_time()
+        call = None
+        try:
+            call = self._make_call(request, started)
+            response = await self._run(call)
+        except errors.CallError as error:
+            response = self._failure(error, call, request)
+        except trio.Cancelled:
+            if call is not None:
+                self._write(call, "left", None)
+            raise
+        seconds = trio.current_time() - started
+        self._count("request_seconds", seconds)
+        return response
+
+    def refuse(self, error):
+        """Return the response to a request that could not be read."""
+        self._record("refuse_malformed", code=error.code, detail=error.detail)
+        self._count(f"requests_total.{error.code}")
+        return self._response(error.status, error, None, None)
+
+    def _make_call(self, request, now):
+        names = self._names
+        configuration = self._read_view().configuration
+        request_id = request.header(names.request_id) or ""
+        if configuration is None:
+            raise errors.NoConfigurationError(
+                f"{self._own_host.name} has no configuration yet"
+            )
+        route = routing.find_route(
+            configuration, request.header("host"), request.target
+        )
+        seconds = route.timeout_seconds
+        value = request.header(names.deadline)
+        if value is not None:
+            seconds = min(seconds, _read_deadline(value))
+        headers = [
+            (header.name, header.value)
+            for header in http1_encoding.end_to_end_headers(request.headers)
+            if header.name not in self._own_names
+        ]
+        headers.append((names.caller_service, self._own_host.service))
+        return _Call(
+            request=request,
+            request_id=request_id,
+            route=route,
+            version=configuration.version,
+            service=self._splits.choose(route),
+            headers=tuple(headers),
+            started_at=now,
+            deadline_at=now + seconds,
+        )
+
+    async def _run(self, call):
+        """Offer a request to owner nodes until it has an answer.
+
+        Raises
+        ------
+        errors.CallError
+            Its outcome is "not run" only if no attempt may have run.
+        """
+        route = call.route
+        budget = self._budget_of(call.service)
+        budget.on_request(call.started_at)
+        tried = set()
+        arrivals = 0
+        unknown_error = None
+        refusal = None
+        failed_answer = None
+        for _ in range(MAXIMUM_OFFERS):
+            try:
+                reply = await self._offer(call, tried)
+            except errors.CallError as error:
+                if error.outcome is errors.Outcome.UNKNOWN:
+                    unknown_error = error
+                    arrivals += 1
+                else:
+                    refusal = _sooner(refusal, error)
+                    if not error.is_retry_safe or isinstance(
+                        error, errors.NoUpstreamError
+                    ):
+                        break
+                    arrivals += error.has_arrived
+                    if not error.has_arrived:
+                        continue
+            else:
+                if reply.status < _UPSTREAM_ERROR or not route.is_idempotent:
+                    return self._success(call, reply)
+                failed_answer = reply
+                arrivals += 1
+            if unknown_error is not None and not route.is_idempotent:
+                break
+            if not self._may_repeat(call, budget, arrivals):
+                break
+        if failed_answer is not None:
+            return self._success(call, failed_answer)
+        raise unknown_error or refusal
+
+    def _may_repeat(self, call, budget, arrivals):
+        """Tell whether one more upstream may get the request."""
+        now = trio.current_time()
+        usual = self._selector.expected_seconds(call.route)
+        return (
+            arrivals < call.route.maximum_attempts
+            and now + usual * REPEAT_SHARE < call.deadline_at
+            and budget.try_spend(now, len(self._read_view().upstreams_by_id))
+        )
+
+    async def _offer(self, call, tried):
+        """Send a request to the best owner node and return its answer."""
+        now = trio.current_time()
+        if now >= call.deadline_at:
+            raise errors.DeadlineBeforeSendError(
+                "the deadline passed before an owner node was chosen"
+            )
+        view = self._read_view()
+        choice = self._selector.choose(
+            view.usable_upstreams(call.service), call.route, tried, now
+        )
+        upstream = choice.upstream
+        tried.add(upstream.upstream_id)
+        call.offers.append(choice)
+        selector = self._selector
+        selector.on_sent(upstream.upstream_id)
+        try:
+            reply = await self._exchange(call, upstream, now)
+        except errors.CallError as error:
+            self._learn_failure(upstream, error)
+            raise
+        finally:
+            selector.on_ended(upstream.upstream_id)
+        now = trio.current_time()
+        selector.on_load(upstream.address, reply.load, now)
+        kind = type(reply)
+        if kind is link.Refusal:
+            error = _REFUSALS.get(reply.code, errors.OverloadedError)(
+                reply.detail
+            )
+            error.has_arrived = reply.has_arrived
+            error.retry_after = reply.retry_after_ms / 1000 or None
+            if reply.has_arrived:
+                selector.on_failure(upstream.upstream_id, now)
+            raise error
+        if kind is link.Failure:
+            selector.on_failure(upstream.upstream_id, now)
+            raise _FAILURES.get(reply.code, errors.OutcomeUnknownError)(
+                reply.detail
+            )
+        self._check_answer(upstream, reply)
+        if reply.status >= _UPSTREAM_ERROR:
+            selector.on_failure(upstream.upstream_id, now)
+        else:
+            selector.on_answer(
+                upstream.upstream_id, call.route, reply.run_ms / 1000, now
+            )
+        return reply
+
+    def _learn_failure(self, upstream, error):
+        if isinstance(error, errors.UpstreamUnreachableError):
+            self._selector.on_unreachable(upstream.address)
+
+    def _check_answer(self, upstream, reply):
+        """Refuse what no sound upstream sends."""
+        names = self._names
+        has_signature = any(
+            name == names.signature for name, _ in reply.headers
+        )
+        is_encoded = any(
+            name == "content-encoding" for name, _ in reply.headers
+        )
+        is_promise = reply.status in (408, 421, 429, 503)
+        if (
+            (reply.status < 300 and not has_signature)
+            or is_encoded
+            or is_promise
+        ):
+            self._selector.on_failure(
+                upstream.upstream_id, trio.current_time()
+            )
+            raise errors.AnswerMismatchError(
+                f"status {reply.status} of {upstream.upstream_id} "
+                f"{'with' if has_signature else 'without'} a signature"
+            )
+
+    async def _exchange(self, call, upstream, now):
+        own = self._own_host
+        is_local = (
+            upstream.address == own.upstream_address
+            and upstream.port == own.upstream_port
+        )
+        peer = None if is_local else self._links(upstream.address)
+        work = link.Work(
+            call_id=0 if is_local else peer.next_call_id(),
+            upstream_id=upstream.upstream_id,
+            service=call.service,
+            route=call.route.name,
+            request_id=call.request_id,
+            method=call.request.method,
+            target=call.request.target,
+            headers=call.headers,
+            body=call.request.body,
+            remaining_ms=(call.deadline_at - now) * 1000,
+            objective_ms=(call.started_at + call.route.objective_seconds - now)
+            * 1000,
+            priority=call.route.priority,
+            is_idempotent=call.route.is_idempotent,
+            expected_ms=self._selector.expected_seconds(call.route) * 1000,
+        )
+        with trio.move_on_at(call.deadline_at + REPLY_MARGIN_SECONDS):
+            if is_local:
+                return await self._run_local(work)
+            return await peer.exchange(work)
+        raise errors.DeadlineAfterSendError(
+            f"no reply from the owner node at {upstream.address}"
+        )
+
+    def _success(self, call, reply):
+        self._write(call, "run", None, reply.status)
+        self._count(f"requests_total.{reply.status}")
+        return messages.Response(
+            status=reply.status,
+            headers=tuple(
+                messages.Header(name=name, value=value)
+                for name, value in reply.headers
+                if name not in _DROPPED_NAMES
+            ),
+            body=reply.body,
+        )
+
+    def _failure(self, error, call, request):
+        """Return the answer to a request that has none of an upstream."""
+        status = error.status
+        if error.outcome is errors.Outcome.NOT_RUN and status >= 429:
+            status = 503
+        retry_after = None
+        if status == 503:
+            retry_after = self._retry_after(error)
+        if call is None:
+            self._record(
+                "refuse",
+                request_id=request.header(self._names.request_id),
+                host=request.header("host"),
+                target=request.target[:100],
+                code=error.code,
+                detail=error.detail,
+            )
+        else:
+            self._write(call, str(error.outcome), error, status, retry_after)
+        self._count(f"requests_total.{error.code}")
+        request_id = request.header(self._names.request_id)
+        return self._response(status, error, request_id, retry_after)
+
+    def _retry_after(self, error):
+        seconds = error.retry_after or DEFAULT_RETRY_AFTER_SECONDS
+        spread = RETRY_AFTER_SPREAD * self._random.random()
+        return seconds * (1 - RETRY_AFTER_SPREAD / 2 + spread)
+
+    def _response(self, status, error, request_id, retry_after):
+        headers = []
+        if request_id is not None:
+            headers.append(
+                messages.Header(name=self._names.request_id, value=request_id)
+            )
+        if retry_after is not None:
+            headers.append(
+                messages.Header(name=_RETRY_AFTER, value=f"{retry_after:.3f}")
+            )
+        return messages.Response(
+            status=status,
+            headers=tuple(headers),
+            body=f"{error.code}: {error.detail}\n".encode(),
+        )
+
+    def _write(self, call, outcome, error, status=None, retry_after=None):
+        self._record(
+            "route",
+            request_id=call.request_id,
+            route=call.route.name,
+            service=call.service,
+            version=call.version,
+            offers=[
+                [
+                    choice.upstream.upstream_id,
+                    choice.candidates,
+                    round(choice.expected_wait * 1000, 1),
+                    (
+                        None
+                        if choice.load_age is None
+                        else round(choice.load_age * 1000)
+                    ),
+                ]
+                for choice in call.offers
+            ],
+            outcome=outcome,
+            status=status,
+            code=None if error is None else error.code,
+            detail=None if error is None else error.detail,
+            retry_after_s=retry_after and round(retry_after, 3),
+            held_ms=round((trio.current_time() - call.started_at) * 1000, 1),
+        )
+
+
+# Framing of the upstream's answer that is not that of this node's.
+_DROPPED_NAMES = frozenset({"content-length", "transfer-encoding"})
+_REFUSALS = {
+    error_type.code: error_type
+    for error_type in (
+        errors.DeadlineBeforeSendError,
+        errors.LeavingError,
+        errors.OutOfServiceError,
+        errors.OverloadedError,
+        errors.QuarantinedError,
+        errors.UnknownServiceError,
+        errors.UpstreamRefusedError,
+        errors.UpstreamUnreachableError,
+    )
+}
+_FAILURES = {
+    error_type.code: error_type
+    for error_type in (
+        errors.AnswerMismatchError,
+        errors.AnswerTooLargeError,
+        errors.DeadlineAfterSendError,
+        errors.OutcomeUnknownError,
+    )
+}
+
+
+class _Call:
+    """One request of a client and what was tried for it."""
+
+    __slots__ = (
+        "request",
+        "request_id",
+        "route",
+        "version",
+        "service",
+        "headers",
+        "started_at",
+        "deadline_at",
+        "offers",
+    )
+
+    def __init__(
+        self,
+        *,
+        request,
+        request_id,
+        route,
+        version,
+        service,
+        headers,
+        started_at,
+        deadline_at,
+    ):
+        self.request = request
+        self.request_id = request_id
+        self.route = route
+        self.version = version
+        self.service = service
+        self.headers = headers
+        self.started_at = started_at
+        self.deadline_at = deadline_at
+        self.offers = []
+
+
+def _sooner(first, second):
+    """Return the refusal after which the client may come back sooner."""
+    if first is None:
+        return second
+    if second.retry_after is None:
+        return first
+    if first.retry_after is None or second.retry_after < first.retry_after:
+        return second
+    return first
+
+
+def _read_deadline(value):
+    """Return the seconds of a deadline header.
+
+    Raises
+    ------
+    errors.BadHeaderError
+
+    Examples
+    --------
+    >>> _read_deadline("1500")
+    1.5
+    """
+    try:
+        seconds = float(value) / 1000
+    except ValueError as error:
+        raise errors.BadHeaderError(
+            f"deadline {value!r}; allowed: a number of milliseconds"
+        ) from error
+    if not 0 <= seconds < MAXIMUM_DEADLINE_SECONDS:
+        return MAXIMUM_DEADLINE_SECONDS
+    return seconds
--- /dev/null
+++ b/shallotbridge/traffic/selection.py
@@ -0,0 +1,246 @@
+"""Chooses the upstream that a request is sent to.
+
+The choice takes the least expected time until the answer: what the owner
+node last said of its queue, what this node has sent there since, how fast
+the upstream was, and what it costs to leave the own failure domain.
+"""
+
+import dataclasses
+
+from ..core import errors
+
+# Share of the newest sample in the running means.
+SMOOTHING = 0.15
+# Duration assumed for a route that has not run yet, s.
+INITIAL_SECONDS = 0.1
+# A load report older than this is not used any more, s.
+LOAD_AGE_SECONDS = 2.0
+# What leaving the own failure domain has to gain, s. It covers the way there
+# and back and keeps bytes between domains low.
+OTHER_DOMAIN_SECONDS = 0.025
+# Failures count like this much more time, s, multiplied by their share.
+FAILURE_SECONDS = 1.5
+# Time after which half of what is known of an upstream's speed and failures
+# is forgotten, so that it is tried again, s.
+HALF_LIFE_SECONDS = 4.0
+# An owner node that takes no work is asked again after this time, s.
+CLOSED_SECONDS = 0.3
+# Random part of the expected time, s: keeps the nodes from choosing the same
+# upstream in the same moment.
+SPREAD_SECONDS = 0.008
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _OwnerState:
+    """What this node knows of one upstream and its owner node."""
+
+    load: object = None
+    load_at: float = 0.0
+    sent_since_load: int = 0
+    outstanding: int = 0
+    speed: float = 1.0
+    failures: float = 0.0
+    learned_at: float = 0.0
+    is_suspect: bool = False
+    closed_until: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Choice:
+    """A chosen upstream and what decided.
+
+    Attributes
+    ----------
+    expected_wait : float
+        Seconds until it is expected to start.
+    load_age : float or None
+        Age of the owner's report, seconds.
+    """
+
+    upstream: object
+    candidates: int
+    expected_wait: float
+    load_age: float | None
+
+
+class Selector:
+    """Chooses among the upstreams of a service.
+
+    Parameters
+    ----------
+    own_domain : str
+        Failure domain of this node.
+    random : random.Random
+    """
+
+    def __init__(self, *, own_domain, random):
+        self._own_domain = own_domain
+        self._random = random
+        self._states_by_id = {}
+        self._ids_by_address = {}
+        self._seconds_by_route = {}
+
+    def expected_seconds(self, route):
+        """Return how long a request of a route usually runs."""
+        return self._seconds_by_route.get(route.name) or INITIAL_SECONDS
+
+    def on_view(self, view):
+        """Forget upstreams that are gone."""
+        for upstream_id in self._states_by_id.keys() - (
+            view.upstreams_by_id.keys()
+        ):
+            del self._states_by_id[upstream_id]
+        self._ids_by_address = {
+            upstream.address: upstream.upstream_id
+            for upstream in view.upstreams_by_id.values()
+        }
+
+    def _state(self, upstream_id):
+        state = self._states_by_id.get(upstream_id)
+        if state is None:
+            state = self._states_by_id[upstream_id] = _OwnerState()
+        return state
+
+    def choose(self, upstreams, route, excluded, now):
+        """Return the best upstream for the next attempt of a request.
+
+        Parameters
+        ----------
+        upstreams : list of model.Upstream
+            Those that may get new work.
+        route : model.Route
+        excluded : set of str
+            Ids that this request was already offered to.
+        now : float
+
+        Returns
+        -------
+        Choice
+
+        Raises
+        ------
+        errors.NoUpstreamError
+            None can be chosen.
+        """
+        best = None
+        best_cost = 0.0
+        best_wait = 0.0
+        candidates = 0
+        run_seconds = self.expected_seconds(route)
+        for upstream in upstreams:
+            upstream_id = upstream.upstream_id
+            if upstream_id in excluded:
+                continue
+            state = self._state(upstream_id)
+            if state.is_suspect or state.closed_until > now:
+                continue
+            candidates += 1
+            wait = self._expected_wait(state, upstream, run_seconds, now)
+            speed, failures = self._recent(state, now)
+            cost = (
+                wait
+                + run_seconds * speed
+                + failures * FAILURE_SECONDS
+                + self._random.random() * SPREAD_SECONDS
+            )
+            if upstream.failure_domain != self._own_domain:
+                cost += OTHER_DOMAIN_SECONDS
+            if best is None or cost < best_cost:
+                best = upstream
+                best_cost = cost
+                best_wait = wait
+        if best is None:
+            raise errors.NoUpstreamError(
+                f"none of {len(upstreams)} upstreams can take a request of "
+                f"{route.name!r}; {len(excluded)} were tried"
+            )
+        state = self._state(best.upstream_id)
+        return Choice(
+            upstream=best,
+            candidates=candidates,
+            expected_wait=best_wait,
+            load_age=None if state.load is None else now - state.load_at,
+        )
+
+    def _expected_wait(self, state, upstream, run_seconds, now):
+        load = state.load
+        slots = max(1, upstream.slots)
+        if load is None or now - state.load_at > LOAD_AGE_SECONDS:
+            beyond = state.outstanding - slots
+            return max(0.0, (beyond + 1) * run_seconds / slots)
+        free = load.free - state.sent_since_load
+        wait = load.wait_ms / 1000
+        if free > 0:
+            return wait
+        return wait + (1 - free) * run_seconds / slots
+
+    def _recent(self, state, now):
+        """Return speed and share of failures, faded with their age."""
+        weight = 0.5 ** ((now - state.learned_at) / HALF_LIFE_SECONDS)
+        return 1.0 + (state.speed - 1.0) * weight, state.failures * weight
+
+    def on_sent(self, upstream_id):
+        """Count a request that is sent to an owner node."""
+        state = self._state(upstream_id)
+        state.outstanding += 1
+        state.sent_since_load += 1
+
+    def on_ended(self, upstream_id):
+        """Count the end of a request that was sent."""
+        state = self._states_by_id.get(upstream_id)
+        if state is not None:
+            state.outstanding -= 1
+
+    def on_load(self, address, load, now):
+        """Take what an owner node says of itself."""
+        upstream_id = self._ids_by_address.get(address)
+        if upstream_id is None:
+            return
+        state = self._state(upstream_id)
+        state.load = load
+        state.load_at = now
+        state.sent_since_load = 0
+        state.closed_until = 0.0 if load.is_open else now + CLOSED_SECONDS
+
+    def on_reached(self, address):
+        """Note that an owner node can be reached."""
+        state = self._states_by_id.get(self._ids_by_address.get(address))
+        if state is not None:
+            state.is_suspect = False
+
+    def on_unreachable(self, address):
+        """Avoid an owner node until it is reached again."""
+        upstream_id = self._ids_by_address.get(address)
+        if upstream_id is not None:
+            state = self._state(upstream_id)
+            state.is_suspect = True
+            state.load = None
+
+    def suspect_addresses(self):
+        """Return the addresses of owner nodes that could not be reached."""
+        return [
+            address
+            for address, upstream_id in self._ids_by_address.items()
+            if (state := self._states_by_id.get(upstream_id)) is not None
+            and state.is_suspect
+        ]
+
+    def on_answer(self, upstream_id, route, seconds, now):
+        """Learn from an answer how fast an upstream is."""
+        usual = self.expected_seconds(route)
+        self._seconds_by_route[route.name] = usual + SMOOTHING * (
+            seconds - usual
+        )
+        state = self._state(upstream_id)
+        speed, failures = self._recent(state, now)
+        state.speed = speed + SMOOTHING * (seconds / usual - speed)
+        state.failures = failures * (1 - SMOOTHING)
+        state.learned_at = now
+
+    def on_failure(self, upstream_id, now):
+        """Learn that an upstream did not give a good answer."""
+        state = self._state(upstream_id)
+        speed, failures = self._recent(state, now)
+        state.speed = speed
+        state.failures = failures + SMOOTHING * (1 - failures)
+        state.learned_at = now
--- a/shallotbridge/transports/tcp.py
+++ b/shallotbridge/transports/tcp.py
@@ -19,6 +19,12 @@
     {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 )
 CONNECT_SECONDS = 3.0
+# A connection whose other end is silent is reset after about 3 s: by probes
+# when it is idle, by the bound on unacknowledged bytes when it is not.
+KEEPALIVE_IDLE_SECONDS = 1
+KEEPALIVE_INTERVAL_SECONDS = 1
+KEEPALIVE_PROBES = 2
+UNACKNOWLEDGED_MILLISECONDS = 3000
 
 
 class TcpStream(trio.abc.HalfCloseableStream):
@@ -45,6 +51,11 @@
         self._is_drained = False
         connection.setblocking(False)
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            self.peer_address = connection.getpeername()[0]
+        except OSError:
+            # The peer reset the connection before it was accepted.
+            self.peer_address = ""
         self.descriptor = connection.fileno()
         if hang_ups is not None:
             hang_ups.add(self)
@@ -212,7 +223,24 @@
     except BaseException:
         connection.close()
         raise
-    return TcpStream(socket.socket(fileno=connection.detach()))
+    return TcpStream(
+        _without_silence(socket.socket(fileno=connection.detach()))
+    )
+
+
+def _without_silence(connection):
+    """Let the kernel notice that the other end of a connection is gone."""
+    tcp = socket.IPPROTO_TCP
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    connection.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
+    connection.setsockopt(
+        tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS
+    )
+    connection.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    connection.setsockopt(
+        tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS
+    )
+    return connection
 
 
 async def serve(address, port, handler, task_status=trio.TASK_STATUS_IGNORED):
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -147,6 +147,36 @@
     return f"(\n{body}\n        )"
 
 
+def _link_code():
+    """Return the code of the messages between nodes."""
+    with (SCHEMA / "link.toml").open("rb") as stream:
+        messages = tomllib.load(stream)["message"]
+    lines = [
+        '"""Messages between nodes, generated from schema/link.toml."""',
+        "",
+        "import msgspec",
+    ]
+    for message in messages:
+        lines += [
+            "",
+            "",
+            f"class {message['name']}(",
+            "    msgspec.Struct,",
+            "    frozen=True,",
+            "    array_like=True,",
+            f"    tag={message['tag']},",
+            "    gc=False,",
+            "):",
+            f'    """{message["help"]}"""',
+            "",
+        ]
+        for field in message["fields"]:
+            if field["help"]:
+                lines.append(f"    # {field['help']}")
+            lines.append(f"    {field['name']}: {field['type']}")
+    return "\n".join(lines) + "\n"
+
+
 def _settings_page(settings):
     lines = [
         "# Settings of a node",
@@ -253,6 +283,7 @@
         '"""Code generated from schema/; do not edit."""\n'
     )
     (target / GENERATED / "settings.py").write_text(_settings_code(settings))
+    (target / GENERATED / "link.py").write_text(_link_code())
     (target / SETTINGS_PAGE).write_text(_settings_page(settings))
     (target / ERRORS_PAGE).write_text(_errors_page())
     schema_text = (SCHEMA / CONFIGURATION_SCHEMA).read_text()
