--- a/shallotbridge/_generated/link.py
+++ b/shallotbridge/_generated/link.py
@@ -37,6 +37,8 @@
     is_idempotent: bool
     # usual duration of the route's requests
     expected_ms: float
+    # the sender's clock, s
+    sent_at: float
 
 
 class Cancel(
@@ -138,6 +140,8 @@
 
     # revision that the sender has
     position: int
+    # the sender's clock, s
+    sent_at: float
 
 
 class Pong(
--- a/shallotbridge/peers/links.py
+++ b/shallotbridge/peers/links.py
@@ -9,8 +9,12 @@
 from ..core import errors
 from . import frames
 
-# A peer that a request waits for is asked for a sign of life this often, s.
-PING_SECONDS = 0.4
+# A connection with requests in flight is looked at this often, s, and the
+# peer is asked for a sign of life after the same time without any byte.
+WATCH_SECONDS = 0.1
+# A peer that does not answer a ping for this long gets no new requests, s.
+# Nodes are some ms apart; a lost packet is sent again after about 0.2 s.
+DOUBT_SECONDS = 0.3
 # Without any byte for this long after a ping, the connection is given up; a
 # lost packet is sent again by TCP within about 0.2 to 0.4 s.
 SILENCE_SECONDS = 1.2
@@ -229,34 +233,44 @@
     async def _watch(self, outbox, scope):
         """Ping while calls wait; give up a silent or unused connection."""
         pinged_at = None
+        is_doubted = False
         while True:
-            await trio.sleep(PING_SECONDS)
+            await trio.sleep(WATCH_SECONDS)
             now = trio.current_time()
             if pinged_at is not None and self._last_received >= pinged_at:
                 pinged_at = None
-            if pinged_at is not None:
-                if now - pinged_at > SILENCE_SECONDS:
-                    decisions.record(
-                        "peer_silent",
-                        peer=self.address,
-                        silent_s=round(now - self._last_received, 3),
-                        pending=len(self._calls_by_id),
-                    )
+                if is_doubted:
+                    is_doubted = False
+                    self._on_state(self.address, True, "answers again")
+            if pinged_at is None:
+                silence = now - self._last_received
+                if self._calls_by_id and silence > WATCH_SECONDS:
+                    pinged_at = now
+                    self._send_ping(outbox, now)
+                elif now - self._last_used > IDLE_SECONDS:
                     scope.cancel()
                     return
-            elif self._calls_by_id:
-                pinged_at = now
-            elif now - self._last_used > IDLE_SECONDS:
+            elif now - pinged_at > SILENCE_SECONDS:
+                decisions.record(
+                    "peer_silent",
+                    peer=self.address,
+                    silent_s=round(now - self._last_received, 3),
+                    pending=len(self._calls_by_id),
+                )
                 scope.cancel()
                 return
-            if pinged_at is not None:
-                outbox.send(link.Ping(position=self._read_position()))
+            elif now - pinged_at > DOUBT_SECONDS and not is_doubted:
+                is_doubted = True
+                self._on_state(self.address, False, "silent")
+
+    def _send_ping(self, outbox, now):
+        outbox.send(link.Ping(position=self._read_position(), sent_at=now))
 
     def ping(self):
         """Ask the peer for its load and revision, if it is connected."""
         if self._stream is not None:
             try:
-                self._outbox.send(link.Ping(position=self._read_position()))
+                self._send_ping(self._outbox, trio.current_time())
             except trio.BrokenResourceError:
                 self._scope.cancel()
 
--- a/shallotbridge/peers/server.py
+++ b/shallotbridge/peers/server.py
@@ -1,5 +1,7 @@
 """Serves the other nodes: runs their requests and answers their pulls."""
 
+import math
+
 import trio
 
 from .._generated import link
@@ -14,7 +16,8 @@
     Parameters
     ----------
     run_work : callable
-        ``await run_work(work)`` returns an Answer, Refusal or Failure.
+        ``await run_work(work, delay)`` returns an Answer, Refusal or
+        Failure; the delay is the time of the request on its way, seconds.
     answer_pull : callable
         ``await answer_pull(pull)`` returns Items.
     read_load : callable
@@ -36,6 +39,7 @@
         outbox = frames.Outbox(stream=stream)
         reader = frames.FrameReader(stream=stream)
         scopes_by_call = {}
+        delays = _Delays()
         reason = "closed by the peer"
         try:
             async with trio.open_nursery() as nursery:
@@ -45,7 +49,12 @@
                     if message is None:
                         break
                     self._take(
-                        message, stream, outbox, nursery, scopes_by_call
+                        message,
+                        stream,
+                        outbox,
+                        nursery,
+                        scopes_by_call,
+                        delays,
                     )
                 nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError) as group:
@@ -62,28 +71,30 @@
                     interrupted=len(scopes_by_call),
                 )
 
-    def _take(self, message, stream, outbox, nursery, scopes_by_call):
+    def _take(self, message, stream, outbox, nursery, scopes_by_call, delays):
         kind = type(message)
         if kind is link.Work:
             scope = trio.CancelScope()
             scopes_by_call[message.call_id] = scope
+            delay = delays.measure(message.sent_at)
             nursery.start_soon(
-                self._run, message, outbox, scope, scopes_by_call
+                self._run, message, delay, outbox, scope, scopes_by_call
             )
         elif kind is link.Cancel:
             scope = scopes_by_call.get(message.call_id)
             if scope is not None:
                 scope.cancel()
         elif kind is link.Ping:
+            delays.measure(message.sent_at)
             self._on_position(stream.peer_address, message.position)
             outbox.send(link.Pong(load=self._read_load()))
         elif kind is link.Pull:
             nursery.start_soon(self._serve_pull, message, outbox)
 
-    async def _run(self, work, outbox, scope, scopes_by_call):
+    async def _run(self, work, delay, outbox, scope, scopes_by_call):
         try:
             with scope:
-                reply = await self._run_work(work)
+                reply = await self._run_work(work, delay)
                 outbox.send(reply)
         except trio.BrokenResourceError:
             # The reader of the connection ends it.
@@ -97,3 +108,23 @@
         except trio.BrokenResourceError:
             # The reader of the connection ends it.
             pass
+
+
+class _Delays:
+    """Measures how long messages of one connection were on their way.
+
+    The clocks of two hosts differ by an offset that does not change; the
+    message that took least time tells it.
+    """
+
+    __slots__ = ("_offset",)
+
+    def __init__(self):
+        self._offset = math.inf
+
+    def measure(self, sent_at):
+        """Return the delay beyond the shortest one seen, seconds."""
+        offset = trio.current_time() - sent_at
+        if offset < self._offset:
+            self._offset = offset
+        return offset - self._offset
--- a/shallotbridge/traffic/admission.py
+++ b/shallotbridge/traffic/admission.py
@@ -5,7 +5,6 @@
 """
 
 import bisect
-import heapq
 
 from ..core import errors
 
@@ -17,9 +16,8 @@
 # A request that would miss its deadline by the estimate may still be lucky;
 # one that would need more than this share of the remaining time is refused.
 USABLE_SHARE = 0.9
-# Residual duration assumed for a request that runs longer than expected, as
-# a share of the mean.
-OVERDUE_RESIDUAL_SHARE = 0.25
+# Mean duration assumed until requests have run, s.
+INITIAL_MEAN_SECONDS = 0.1
 # Bounds of the time after which a refused caller may come back, s.
 MINIMUM_RETRY_AFTER_SECONDS = 0.03
 MAXIMUM_RETRY_AFTER_SECONDS = 2.0
@@ -105,6 +103,7 @@
         self._waiting = []
         self._running = set()
         self._seconds_by_route = {}
+        self._mean_seconds = INITIAL_MEAN_SECONDS
         self._closed_error = None
 
     @property
@@ -117,12 +116,6 @@
         """Requests that wait for a slot."""
         return len(self._waiting)
 
-    def expected_seconds(self, ticket):
-        """Return how long a request is expected to run here."""
-        return self._seconds_by_route.get(
-            ticket.route, ticket.expected_seconds
-        )
-
     def close(self, error):
         """Refuse all waiting and new requests until ``open`` is called."""
         self._closed_error = error
@@ -150,7 +143,10 @@
         if self._closed_error is not None:
             raise self._closed_error
         ticket.offered_at = now
-        expected = self.expected_seconds(ticket)
+        expected = self._seconds_by_route.get(
+            ticket.route, ticket.expected_seconds
+        )
+        ticket.expected_seconds = expected
         self._check_deadline(ticket, expected, now)
         wait = self.expected_wait(now, ticket)
         if now + wait + expected > ticket.objective_at:
@@ -189,17 +185,20 @@
             Requests that rank behind it do not count; without one, all do.
         """
         waiting = self._waiting
-        if ticket is not None and waiting:
-            waiting = waiting[
-                : bisect.bisect_right(waiting, ticket.rank(), key=Ticket.rank)
-            ]
+        ahead = len(waiting)
+        if ticket is not None and ahead:
+            ahead = bisect.bisect_right(
+                waiting, ticket.rank(), key=Ticket.rank
+            )
         wait = 0.0
-        if len(self._running) + len(waiting) >= self.slots:
-            ends = self._slot_ends(now)
-            for other in waiting:
-                heapq.heapreplace(ends, ends[0] + self.expected_seconds(other))
-            wait = max(0.0, ends[0] - now)
-        return max(wait, self._cold_wait(now, len(waiting)))
+        if len(self._running) + ahead >= self.slots:
+            # The slots free up one after the other, a mean duration apart
+            # divided by their number.
+            work = self._mean_seconds
+            for index in range(ahead):
+                work += waiting[index].expected_seconds
+            wait = work / self.slots
+        return max(wait, self._cold_wait(now, ahead))
 
     def _cold_wait(self, now, ahead):
         first = self._cold_start.seconds_until_allowed(now)
@@ -207,17 +206,6 @@
             return 0.0
         return first + ahead / max(1.0, self._cold_start.rate)
 
-    def _slot_ends(self, now):
-        """Return a heap of the expected times at which slots are free."""
-        ends = []
-        for ticket in self._running:
-            expected = self.expected_seconds(ticket)
-            left = expected - (now - ticket.granted_at)
-            ends.append(now + max(left, expected * OVERDUE_RESIDUAL_SHARE))
-        ends.extend([now] * (self.slots - len(ends)))
-        heapq.heapify(ends)
-        return ends
-
     def dispatch(self, now):
         """Grant slots to waiting requests; refuse those that are too late.
 
@@ -231,7 +219,7 @@
             if pause > 0:
                 return pause
             ticket = self._waiting.pop(0)
-            expected = self.expected_seconds(ticket)
+            expected = ticket.expected_seconds
             try:
                 self._check_deadline(ticket, expected, now)
             except errors.CallError as error:
@@ -257,21 +245,21 @@
         """Refuse waiting requests that will not be reached in time."""
         if not self._waiting:
             return
-        ends = self._slot_ends(now) if self.slots else [now]
         rate = max(1.0, self._cold_start.rate)
-        cold_wait = self._cold_start.seconds_until_allowed(now)
         is_cold = self._cold_start.is_cold(now)
+        cold_wait = self._cold_start.seconds_until_allowed(now)
+        work = self._mean_seconds
         kept = []
         refused = []
         for ticket in self._waiting:
-            start = ends[0]
+            wait = work / self.slots
             if is_cold:
-                start = max(start, now + cold_wait + len(kept) / rate)
-            expected = self.expected_seconds(ticket)
-            if start + expected * WORTH_STARTING_SHARE > ticket.deadline_at:
-                refused.append((ticket, start - now))
+                wait = max(wait, cold_wait + len(kept) / rate)
+            worth = ticket.expected_seconds * WORTH_STARTING_SHARE
+            if now + wait + worth > ticket.deadline_at:
+                refused.append((ticket, wait))
             else:
-                heapq.heapreplace(ends, start + expected)
+                work += ticket.expected_seconds
                 kept.append(ticket)
         self._waiting = kept
         for ticket, wait in refused:
@@ -287,10 +275,13 @@
     def on_run(self, ticket, now):
         """Free the slot of a request that ran, and learn its duration."""
         seconds = now - ticket.granted_at
-        known = self.expected_seconds(ticket)
+        known = self._seconds_by_route.get(
+            ticket.route, ticket.expected_seconds
+        )
         self._seconds_by_route[ticket.route] = known + SMOOTHING * (
             seconds - known
         )
+        self._mean_seconds += SMOOTHING * (seconds - self._mean_seconds)
         self._end(ticket, now)
 
     def on_not_run(self, ticket, now):
--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -24,6 +24,9 @@
 # A repeat of a request that is still worth it has this share of the usual
 # duration left.
 REPEAT_SHARE = 0.8
+# A service that fails this share of its requests gets no repeats: they would
+# fail too, and load what it calls.
+WIDE_FAILURE_SHARE = 0.2
 _RETRY_AFTER = "retry-after"
 _UPSTREAM_ERROR = 500
 
@@ -194,7 +197,8 @@
         now = trio.current_time()
         usual = self._selector.expected_seconds(call.route)
         return (
-            arrivals < call.route.maximum_attempts
+            self._selector.failure_share(call.service) < WIDE_FAILURE_SHARE
+            and arrivals < call.route.maximum_attempts
             and now + usual * REPEAT_SHARE < call.deadline_at
             and budget.try_spend(now, len(self._read_view().upstreams_by_id))
         )
@@ -232,20 +236,18 @@
             error.has_arrived = reply.has_arrived
             error.retry_after = reply.retry_after_ms / 1000 or None
             if reply.has_arrived:
-                selector.on_failure(upstream.upstream_id, now)
+                selector.on_failure(upstream, now)
             raise error
         if kind is link.Failure:
-            selector.on_failure(upstream.upstream_id, now)
+            selector.on_failure(upstream, now)
             raise _FAILURES.get(reply.code, errors.OutcomeUnknownError)(
                 reply.detail
             )
         self._check_answer(upstream, reply)
         if reply.status >= _UPSTREAM_ERROR:
-            selector.on_failure(upstream.upstream_id, now)
+            selector.on_failure(upstream, now)
         else:
-            selector.on_answer(
-                upstream.upstream_id, call.route, reply.run_ms / 1000, now
-            )
+            selector.on_answer(upstream, call.route, reply.run_ms / 1000, now)
         return reply
 
     def _learn_failure(self, upstream, error):
@@ -267,9 +269,7 @@
             or is_encoded
             or is_promise
         ):
-            self._selector.on_failure(
-                upstream.upstream_id, trio.current_time()
-            )
+            self._selector.on_failure(upstream, trio.current_time())
             raise errors.AnswerMismatchError(
                 f"status {reply.status} of {upstream.upstream_id} "
                 f"{'with' if has_signature else 'without'} a signature"
@@ -298,10 +298,11 @@
             priority=call.route.priority,
             is_idempotent=call.route.is_idempotent,
             expected_ms=self._selector.expected_seconds(call.route) * 1000,
+            sent_at=now,
         )
+        if is_local:
+            return await self._run_local(work)
         with trio.move_on_at(call.deadline_at + REPLY_MARGIN_SECONDS):
-            if is_local:
-                return await self._run_local(work)
             return await peer.exchange(work)
         raise errors.DeadlineAfterSendError(
             f"no reply from the owner node at {upstream.address}"
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -82,7 +82,7 @@
             names=names,
         )
         self._nursery = None
-        self._wake_scheduled_at = math.inf
+        self._is_wake_scheduled = False
         self._probe_now = trio.Event()
         self._instance_id = None
         self._registered = None
@@ -213,12 +213,14 @@
 
     # Requests.
 
-    async def run(self, work):
+    async def run(self, work, delay=0.0):
         """Run a request on the upstream.
 
         Parameters
         ----------
         work : link.Work
+        delay : float
+            Time that the request spent on its way here, seconds.
 
         Returns
         -------
@@ -228,7 +230,7 @@
         started = now
         try:
             self._check_target(work)
-            ticket, granted = self._offer(work, now)
+            ticket, granted = self._offer(work, now, delay)
             await self._wait_granted(ticket, granted)
             started = trio.current_time()
             response = await self._send(work, ticket)
@@ -296,20 +298,20 @@
                 f"{work.upstream_id!r}"
             )
 
-    def _offer(self, work, now):
+    def _offer(self, work, now, delay):
         """Take a request into the queue; return its ticket and event."""
         granted = _Grant()
         ticket = admission.Ticket(
             route=work.route,
             priority=work.priority,
-            objective_at=now + work.objective_ms / 1000,
-            deadline_at=now + work.remaining_ms / 1000,
+            objective_at=now - delay + work.objective_ms / 1000,
+            deadline_at=now - delay + work.remaining_ms / 1000,
             expected_seconds=work.expected_ms / 1000,
             on_granted=granted.grant,
             on_refused=granted.refuse,
         )
         self._admission.offer(ticket, now)
-        self._schedule_wake(now)
+        self._schedule_wake()
         return ticket, granted
 
     async def _wait_granted(self, ticket, granted):
@@ -353,7 +355,6 @@
         finally:
             if not is_ended:
                 self._admission.on_not_run(ticket, trio.current_time())
-            self._schedule_wake(trio.current_time())
 
     async def _exchange(self, work, request, ticket):
         """Send a request; a repeatable one ends when the upstream is gone."""
@@ -389,23 +390,19 @@
 
     # Wake-ups: cold starts and hopeless requests.
 
-    def _schedule_wake(self, now):
+    def _schedule_wake(self):
         """Make sure that waiting requests are looked at again."""
-        if self._admission.queued and now < self._wake_scheduled_at <= (
-            now + SWEEP_SECONDS
-        ):
-            return
-        if self._admission.queued and self._nursery is not None:
-            self._wake_scheduled_at = now + SWEEP_SECONDS
+        if self._admission.queued and not self._is_wake_scheduled:
+            self._is_wake_scheduled = True
             self._nursery.start_soon(self._wake)
 
     async def _wake(self):
-        await trio.sleep(SWEEP_SECONDS)
-        now = trio.current_time()
-        self._wake_scheduled_at = math.inf
-        self._admission.dispatch(now)
-        self._admission.refuse_hopeless(now)
-        self._schedule_wake(now)
+        while self._admission.queued:
+            await trio.sleep(SWEEP_SECONDS)
+            now = trio.current_time()
+            self._admission.dispatch(now)
+            self._admission.refuse_hopeless(now)
+        self._is_wake_scheduled = False
 
     # Probes.
 
--- a/shallotbridge/traffic/retry_budget.py
+++ b/shallotbridge/traffic/retry_budget.py
@@ -4,7 +4,7 @@
 
 # Part of the fleet's budget that the nodes use; the rest covers the calls
 # that repeated requests make in turn at other services.
-USED_SHARE = 0.7
+USED_SHARE = 0.55
 # The window is counted in steps of this length, s.
 STEP_SECONDS = 1.0
 
@@ -37,7 +37,7 @@
         counts = self._counts
         if not counts or counts[-1][0] != step:
             counts.append((step, [0, 0]))
-            while counts[0][0] <= step - self._steps - 1:
+            while counts[0][0] <= step - self._steps:
                 counts.popleft()
         return counts[-1][1]
 
--- a/shallotbridge/traffic/selection.py
+++ b/shallotbridge/traffic/selection.py
@@ -11,6 +11,8 @@
 
 # Share of the newest sample in the running means.
 SMOOTHING = 0.15
+# The same for the share of failures of a whole service.
+SERVICE_SMOOTHING = 0.05
 # Duration assumed for a route that has not run yet, s.
 INITIAL_SECONDS = 0.1
 # A load report older than this is not used any more, s.
@@ -79,6 +81,7 @@
         self._states_by_id = {}
         self._ids_by_address = {}
         self._seconds_by_route = {}
+        self._failures_by_service = {}
 
     def expected_seconds(self, route):
         """Return how long a request of a route usually runs."""
@@ -225,21 +228,33 @@
             and state.is_suspect
         ]
 
-    def on_answer(self, upstream_id, route, seconds, now):
+    def failure_share(self, service):
+        """Return the recent share of failed requests of a service."""
+        return self._failures_by_service.get(service, 0.0)
+
+    def _note_outcome(self, service, is_failure):
+        known = self._failures_by_service.get(service, 0.0)
+        self._failures_by_service[service] = known + SERVICE_SMOOTHING * (
+            is_failure - known
+        )
+
+    def on_answer(self, upstream, route, seconds, now):
         """Learn from an answer how fast an upstream is."""
         usual = self.expected_seconds(route)
         self._seconds_by_route[route.name] = usual + SMOOTHING * (
             seconds - usual
         )
-        state = self._state(upstream_id)
+        self._note_outcome(upstream.service, False)
+        state = self._state(upstream.upstream_id)
         speed, failures = self._recent(state, now)
         state.speed = speed + SMOOTHING * (seconds / usual - speed)
         state.failures = failures * (1 - SMOOTHING)
         state.learned_at = now
 
-    def on_failure(self, upstream_id, now):
+    def on_failure(self, upstream, now):
         """Learn that an upstream did not give a good answer."""
-        state = self._state(upstream_id)
+        self._note_outcome(upstream.service, True)
+        state = self._state(upstream.upstream_id)
         speed, failures = self._recent(state, now)
         state.speed = speed
         state.failures = failures + SMOOTHING * (1 - failures)
