Withdraw slow repeatable requests, end idle connections in a drain, test traffic

Lost answers held repeatable requests to their deadline; requests that could no longer be on time filled the queues in overload. Change: the idle bound follows the connection's state; a repeatable request goes elsewhere after four times its usual duration; on-time admission has a margin; late requests wait 0.12 s at most; routine log lines have a rate.

--- a/shallotbridge/peers/server.py
+++ b/shallotbridge/peers/server.py
@@ -2,6 +2,7 @@
 
 import math
 
+import eliot
 import trio
 
 from .._generated import link
@@ -99,6 +100,18 @@
         except trio.BrokenResourceError:
             # The reader of the connection ends it.
             pass
+        except Exception:
+            # A fault of this program must not end the other requests of the
+            # connection.
+            eliot.write_traceback()
+            outbox.send(
+                link.Failure(
+                    call_id=work.call_id,
+                    code=errors.OutcomeUnknownError.code,
+                    detail="a fault of the owner node",
+                    load=self._read_load(),
+                )
+            )
         finally:
             scopes_by_call.pop(work.call_id, None)
 
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -98,6 +98,7 @@
         self._metrics_port = metrics_port
         self._nursery = None
         self._links_by_address = {}
+        self._reached_by_address = {}
         self._budgets_by_service = {}
         self._is_leaving = False
         self._client_scope = trio.CancelScope()
@@ -208,11 +209,13 @@
         self._selector.on_load(address, load, trio.current_time())
 
     def _on_link_state(self, address, is_connected, reason):
-        decisions.record(
-            "peer_connected" if is_connected else "peer_lost",
-            peer=address,
-            reason=reason,
-        )
+        if self._reached_by_address.get(address) is not is_connected:
+            self._reached_by_address[address] = is_connected
+            decisions.record(
+                "peer_connected" if is_connected else "peer_lost",
+                peer=address,
+                reason=reason,
+            )
         if is_connected:
             self._selector.on_reached(address)
         else:
@@ -251,6 +254,7 @@
             if address not in known and not peer.pending_count:
                 peer.close()
                 del self._links_by_address[address]
+                self._reached_by_address.pop(address, None)
 
     async def _reconnect(self):
         """Try the owner nodes again that could not be reached."""
@@ -353,9 +357,9 @@
             busy_clients=self._clients.busy_count,
         )
         self._owner.begin_leaving()
+        self._clients.begin_drain()
         await trio.sleep(LEAVING_SECONDS)
         self._client_scope.cancel()
-        self._clients.begin_drain()
         while trio.current_time() < deadline:
             if not self._clients.connection_count and not (
                 self._owner.in_progress
--- a/shallotbridge/traffic/admission.py
+++ b/shallotbridge/traffic/admission.py
@@ -13,6 +13,12 @@
 # A request is worth starting while this share of its expected duration is
 # left: about a third of the requests end well before the mean.
 WORTH_STARTING_SHARE = 0.7
+# A request counts as on time if this multiple of its expected duration fits
+# before its objective; four of five requests end within it.
+ON_TIME_SHARE = 1.5
+# A request that cannot be on time any more gets what the others leave, and
+# goes back to its client after waiting this long, s.
+LATE_HOLD_SECONDS = 0.12
 # A request that would miss its deadline by the estimate may still be lucky;
 # one that would need more than this share of the remaining time is refused.
 USABLE_SHARE = 0.9
@@ -149,11 +155,14 @@
         ticket.expected_seconds = expected
         self._check_deadline(ticket, expected, now)
         wait = self.expected_wait(now, ticket)
-        if now + wait + expected > ticket.objective_at:
+        if now + wait + expected * ON_TIME_SHARE > ticket.objective_at:
             ticket.is_late = True
             wait = self.expected_wait(now, ticket)
         usable = now + (ticket.deadline_at - now) * USABLE_SHARE
-        if wait > 0 and now + wait + expected > usable:
+        if wait > 0 and (
+            now + wait + expected > usable
+            or (ticket.is_late and wait > LATE_HOLD_SECONDS)
+        ):
             raise self._overloaded(wait)
         bisect.insort(self._waiting, ticket, key=Ticket.rank)
         self.dispatch(now)
@@ -225,9 +234,7 @@
             except errors.CallError as error:
                 ticket.on_refused(error)
                 continue
-            if not ticket.is_late and (
-                now + expected * WORTH_STARTING_SHARE > ticket.objective_at
-            ):
+            if not ticket.is_late and (now + expected > ticket.objective_at):
                 # Others can still be on time; this one cannot.
                 ticket.is_late = True
                 bisect.insort(self._waiting, ticket, key=Ticket.rank)
@@ -242,7 +249,11 @@
         ticket.on_granted()
 
     def refuse_hopeless(self, now):
-        """Refuse waiting requests that will not be reached in time."""
+        """Refuse waiting requests that will not be reached in time.
+
+        Those that cannot be on time any more are moved behind the others,
+        and go back to their clients when they have waited for long.
+        """
         if not self._waiting:
             return
         rate = max(1.0, self._cold_start.rate)
@@ -255,13 +266,18 @@
             wait = work / self.slots
             if is_cold:
                 wait = max(wait, cold_wait + len(kept) / rate)
+            end = now + wait + ticket.expected_seconds
+            if end > ticket.objective_at:
+                ticket.is_late = True
             worth = ticket.expected_seconds * WORTH_STARTING_SHARE
-            if now + wait + worth > ticket.deadline_at:
+            if now + wait + worth > ticket.deadline_at or (
+                ticket.is_late and now - ticket.offered_at > LATE_HOLD_SECONDS
+            ):
                 refused.append((ticket, wait))
             else:
                 work += ticket.expected_seconds
                 kept.append(ticket)
-        self._waiting = kept
+        self._waiting = sorted(kept, key=Ticket.rank)
         for ticket, wait in refused:
             ticket.on_refused(self._overloaded(wait))
 
--- a/shallotbridge/traffic/client_connections.py
+++ b/shallotbridge/traffic/client_connections.py
@@ -39,7 +39,7 @@
         self._answer = answer
         self._refuse = refuse
         self._read_limits = read_limits
-        self._idle_scopes = set()
+        self._connections = set()
         self._is_draining = False
         self.busy_count = 0
         self.connection_count = 0
@@ -48,102 +48,102 @@
         """Serve a connection until either side closes it."""
         self.connection_count += 1
         limits = self._read_limits()
-        reader = http1.RequestReader(
+        connection = _Connection(
             stream=stream,
-            maximum_head_bytes=limits.maximum_head_bytes,
-            maximum_body_bytes=limits.maximum_body_bytes,
-            head_seconds=limits.head_seconds,
+            reader=http1.RequestReader(
+                stream=stream,
+                maximum_head_bytes=limits.maximum_head_bytes,
+                maximum_body_bytes=limits.maximum_body_bytes,
+                head_seconds=limits.head_seconds,
+            ),
         )
+        self._connections.add(connection)
         try:
             async with trio.open_nursery() as nursery:
-                await self._read_requests(reader, stream, nursery)
+                await self._read_requests(connection, nursery)
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             # The client closed the connection; nobody reads an answer.
             pass
         finally:
             self.connection_count -= 1
+            self._connections.discard(connection)
             stream.close()
 
-    async def _read_requests(self, reader, stream, nursery):
+    async def _read_requests(self, connection, nursery):
         """Read requests and start a task for each until the connection ends.
 
         Reading goes on while requests are served, so that a client that
         leaves is noticed at once.
         """
-        pipeline = trio.CapacityLimiter(MAXIMUM_PIPELINED)
+        reader = connection.reader
         turn = trio.Event()
         turn.set()
         while True:
-            if not await self._wait_request(reader, pipeline):
-                # Requests behind one that closes the connection are never
-                # read, so that here nobody waits for an answer any more.
+            if not await self._wait_request(connection):
+                # The client has left, or the connection was idle.
                 nursery.cancel_scope.cancel()
                 return
             try:
                 request = await reader.read()
             except errors.FramingError as error:
                 await turn.wait()
-                await self._send_refusal(error, stream)
+                await self._send_refusal(error, connection.stream)
                 nursery.cancel_scope.cancel()
                 return
             is_last = not reader.is_persistent or self._is_draining
             next_turn = trio.Event()
-            owner = object()
-            pipeline.acquire_on_behalf_of_nowait(owner)
+            connection.in_flight += 1
             nursery.start_soon(
-                self._serve,
-                request,
-                stream,
-                turn,
-                next_turn,
-                is_last,
-                (pipeline, owner),
+                self._serve, request, connection, turn, next_turn, is_last
             )
             turn = next_turn
             if is_last:
                 await self._watch_until(reader, turn, nursery)
-                await http1.linger(stream)
+                await http1.linger(connection.stream)
                 return
-            if not pipeline.available_tokens:
+            if connection.in_flight >= MAXIMUM_PIPELINED:
                 await turn.wait()
 
-    async def _wait_request(self, reader, pipeline):
+    async def _wait_request(self, connection):
         with trio.CancelScope() as scope:
-            idle_seconds = self._read_limits().idle_seconds
-            scope.deadline = (
-                trio.current_time() + idle_seconds + IDLE_MARGIN_SECONDS
-            )
-            is_idle = not pipeline.borrowed_tokens
-            if is_idle and self._is_draining:
-                scope.deadline = trio.current_time() + DRAIN_IDLE_SECONDS
-            if not is_idle:
-                scope.deadline = math.inf
-            self._idle_scopes.add(scope)
+            connection.idle_scope = scope
+            self._limit_idle(connection)
             try:
-                return await reader.wait_request()
+                return await connection.reader.wait_request()
             finally:
-                self._idle_scopes.discard(scope)
+                connection.idle_scope = None
         return False
 
+    def _limit_idle(self, connection):
+        """Bound the wait for the next request while none is in flight."""
+        if connection.idle_scope is None:
+            return
+        if connection.in_flight:
+            connection.idle_scope.deadline = math.inf
+            return
+        seconds = self._read_limits().idle_seconds + IDLE_MARGIN_SECONDS
+        if self._is_draining:
+            seconds = DRAIN_IDLE_SECONDS
+        connection.idle_scope.deadline = trio.current_time() + seconds
+
     async def _watch_until(self, reader, turn, nursery):
         """Wait for the last answer, or until the client leaves."""
 
         async def watch():
-            while await reader.wait_request():
+            if await reader.wait_request():
                 # Bytes behind the last request are not read as one.
                 await turn.wait()
-                return
-            nursery.cancel_scope.cancel()
+            else:
+                nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as watcher:
             watcher.start_soon(watch)
             await turn.wait()
             watcher.cancel_scope.cancel()
 
-    async def _serve(
-        self, request, stream, turn, next_turn, is_last, pipeline
-    ):
+    async def _serve(self, request, connection, turn, next_turn, is_last):
         self.busy_count += 1
+        stream = connection.stream
         try:
             response = await self._answer(request)
             await turn.wait()
@@ -160,8 +160,8 @@
             ) from error
         finally:
             self.busy_count -= 1
-            limiter, owner = pipeline
-            limiter.release_on_behalf_of(owner)
+            connection.in_flight -= 1
+            self._limit_idle(connection)
             next_turn.set()
 
     async def _send_refusal(self, error, stream):
@@ -175,7 +175,25 @@
     def begin_drain(self):
         """End each connection after its next answer, or soon if idle."""
         self._is_draining = True
-        deadline = trio.current_time() + DRAIN_IDLE_SECONDS
-        for scope in self._idle_scopes:
-            if scope.deadline < math.inf:
-                scope.deadline = deadline
+        for connection in self._connections:
+            self._limit_idle(connection)
+
+
+class _Connection:
+    """One client's connection.
+
+    Attributes
+    ----------
+    in_flight : int
+        Requests that are read and not answered.
+    idle_scope : trio.CancelScope or None
+        Bounds the wait for the next request.
+    """
+
+    __slots__ = ("stream", "reader", "in_flight", "idle_scope")
+
+    def __init__(self, *, stream, reader):
+        self.stream = stream
+        self.reader = reader
+        self.in_flight = 0
+        self.idle_scope = None
--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -1,5 +1,9 @@
 """The entry node: from a client's request to its whole answer."""
 
+import functools
+import math
+
+import eliot
 import trio
 
 from .._generated import link
@@ -11,6 +15,13 @@
 
 # Owner nodes that may refuse a request before it goes back to its client.
 MAXIMUM_OFFERS = 4
+# After a refusal for overload, only owner nodes with a shorter expected wait
+# than this are asked, s.
+SHORT_WAIT_SECONDS = 0.1
+# A repeatable request without an answer after this multiple of its usual
+# duration, and after its objective, is withdrawn and sent elsewhere: its
+# answer may be lost, or the upstream be far slower than the others.
+GIVE_UP_SHARE = 4.0
 # Longest deadline that is believed, s; without one the route's timeout holds.
 MAXIMUM_DEADLINE_SECONDS = 3600.0
 # An owner node ends a request at its deadline; this much later the entry
@@ -27,6 +38,8 @@
 # A service that fails this share of its requests gets no repeats: they would
 # fail too, and load what it calls.
 WIDE_FAILURE_SHARE = 0.2
+# Lines of the log for requests that ran at the first offer, a second.
+ROUTINE_LINES = 20
 _RETRY_AFTER = "retry-after"
 _UPSTREAM_ERROR = 500
 
@@ -81,6 +94,7 @@
         self._random = random
         self._count = count
         self._record = record
+        self._routine = decisions.RoutineLog(rate=ROUTINE_LINES)
         self._own_names = frozenset(
             {
                 names.deadline,
@@ -105,6 +119,12 @@
             if call is not None:
                 self._write(call, "left", None)
             raise
+        except Exception:
+            # A fault of this program must not end the other requests of the
+            # connection. What was sent may have run.
+            eliot.write_traceback()
+            error = errors.OutcomeUnknownError("a fault of the node")
+            response = self._failure(error, call, request)
         seconds = trio.current_time() - started
         self._count("request_seconds", seconds)
         return response
@@ -165,7 +185,10 @@
         failed_answer = None
         for _ in range(MAXIMUM_OFFERS):
             try:
-                reply = await self._offer(call, tried)
+                may_give_up = route.is_idempotent and self._may_repeat(
+                    call, budget.has_room, arrivals + 1
+                )
+                reply = await self._offer(call, tried, may_give_up)
             except errors.CallError as error:
                 if error.outcome is errors.Outcome.UNKNOWN:
                     unknown_error = error
@@ -177,6 +200,8 @@
                     ):
                         break
                     arrivals += error.has_arrived
+                    if isinstance(error, errors.OverloadedError):
+                        call.maximum_wait = SHORT_WAIT_SECONDS
                     if not error.has_arrived:
                         continue
             else:
@@ -186,24 +211,41 @@
                 arrivals += 1
             if unknown_error is not None and not route.is_idempotent:
                 break
-            if not self._may_repeat(call, budget, arrivals):
+            if not self._may_repeat(call, budget.try_spend, arrivals):
                 break
         if failed_answer is not None:
             return self._success(call, failed_answer)
         raise unknown_error or refusal
 
-    def _may_repeat(self, call, budget, arrivals):
-        """Tell whether one more upstream may get the request."""
+    def _may_repeat(self, call, ask_budget, arrivals):
+        """Tell whether one more upstream may get the request.
+
+        Parameters
+        ----------
+        call : _Call
+        ask_budget : callable
+            ``try_spend`` or ``has_room`` of the service's budget.
+        arrivals : int
+            Upstreams that got it.
+        """
         now = trio.current_time()
         usual = self._selector.expected_seconds(call.route)
         return (
             self._selector.failure_share(call.service) < WIDE_FAILURE_SHARE
             and arrivals < call.route.maximum_attempts
             and now + usual * REPEAT_SHARE < call.deadline_at
-            and budget.try_spend(now, len(self._read_view().upstreams_by_id))
+            and ask_budget(now, len(self._read_view().upstreams_by_id))
         )
 
-    async def _offer(self, call, tried):
+    def _give_up_at(self, call, now):
+        """Return when a repeatable request may be sent elsewhere."""
+        usual = self._selector.expected_seconds(call.route)
+        return max(
+            now + usual * GIVE_UP_SHARE,
+            call.started_at + call.route.objective_seconds,
+        )
+
+    async def _offer(self, call, tried, may_give_up):
         """Send a request to the best owner node and return its answer."""
         now = trio.current_time()
         if now >= call.deadline_at:
@@ -212,7 +254,11 @@
             )
         view = self._read_view()
         choice = self._selector.choose(
-            view.usable_upstreams(call.service), call.route, tried, now
+            view.usable_upstreams(call.service),
+            call.route,
+            tried,
+            now,
+            call.maximum_wait,
         )
         upstream = choice.upstream
         tried.add(upstream.upstream_id)
@@ -220,7 +266,7 @@
         selector = self._selector
         selector.on_sent(upstream.upstream_id)
         try:
-            reply = await self._exchange(call, upstream, now)
+            reply = await self._exchange(call, upstream, now, may_give_up)
         except errors.CallError as error:
             self._learn_failure(upstream, error)
             raise
@@ -275,7 +321,7 @@
                 f"{'with' if has_signature else 'without'} a signature"
             )
 
-    async def _exchange(self, call, upstream, now):
+    async def _exchange(self, call, upstream, now, may_give_up):
         own = self._own_host
         is_local = (
             upstream.address == own.upstream_address
@@ -300,10 +346,18 @@
             expected_ms=self._selector.expected_seconds(call.route) * 1000,
             sent_at=now,
         )
-        if is_local:
-            return await self._run_local(work)
-        with trio.move_on_at(call.deadline_at + REPLY_MARGIN_SECONDS):
+        end_at = call.deadline_at + REPLY_MARGIN_SECONDS
+        if may_give_up:
+            end_at = min(end_at, self._give_up_at(call, now))
+        with trio.move_on_at(end_at):
+            if is_local:
+                return await self._run_local(work)
             return await peer.exchange(work)
+        if trio.current_time() < call.deadline_at:
+            raise errors.OutcomeUnknownError(
+                f"withdrawn from {upstream.upstream_id}, which did not "
+                "answer for much longer than usual"
+            )
         raise errors.DeadlineAfterSendError(
             f"no reply from the owner node at {upstream.address}"
         )
@@ -366,7 +420,11 @@
         )
 
     def _write(self, call, outcome, error, status=None, retry_after=None):
-        self._record(
+        now = trio.current_time()
+        record = self._record
+        if outcome == "run" and len(call.offers) == 1:
+            record = functools.partial(self._routine.record, now=now)
+        record(
             "route",
             request_id=call.request_id,
             route=call.route.name,
@@ -390,7 +448,7 @@
             code=None if error is None else error.code,
             detail=None if error is None else error.detail,
             retry_after_s=retry_after and round(retry_after, 3),
-            held_ms=round((trio.current_time() - call.started_at) * 1000, 1),
+            held_ms=round((now - call.started_at) * 1000, 1),
         )
 
 
@@ -433,6 +491,7 @@
         "started_at",
         "deadline_at",
         "offers",
+        "maximum_wait",
     )
 
     def __init__(
@@ -456,6 +515,8 @@
         self.started_at = started_at
         self.deadline_at = deadline_at
         self.offers = []
+        # Longest expected wait at an owner node that is worth an offer, s.
+        self.maximum_wait = math.inf
 
 
 def _sooner(first, second):
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -12,6 +12,8 @@
 from . import model
 from . import upstream_client
 
+# Lines of the log for requests that ran, a second.
+ROUTINE_LINES = 20
 # Slots assumed until the upstream has registered itself.
 INITIAL_SLOTS = 1
 # Waiting requests are checked this often for those that will not be reached
@@ -25,9 +27,9 @@
 # Probes without any answer, while nothing else was answered either, after
 # which an upstream counts as gone.
 SILENT_PROBES = 2
-# Part of the tolerated rate that a cold upstream gets; its own health
-# checks, and requests of before a restart of this node, are not counted.
-COLD_RATE_SHARE = 0.9
+# Multiple of the tolerated rate that a cold upstream gets in any second. The
+# agreed bound is 1.5 times the rate and some requests more.
+COLD_RATE_SHARE = 1.15
 
 # Until the configuration is known.
 _NO_TERMS = model.Service(
@@ -81,6 +83,7 @@
             port=own_host.upstream_port,
             names=names,
         )
+        self._routine = decisions.RoutineLog(rate=ROUTINE_LINES)
         self._nursery = None
         self._is_wake_scheduled = False
         self._probe_now = trio.Event()
@@ -238,8 +241,9 @@
             return self._reply_error(work, error, now, started)
         run_seconds = trio.current_time() - started
         self.run_count += 1
-        self._record(
+        self._routine.record(
             "run",
+            now,
             request_id=work.request_id,
             route=work.route,
             waited_ms=round((started - now) * 1000, 1),
--- a/shallotbridge/traffic/retry_budget.py
+++ b/shallotbridge/traffic/retry_budget.py
@@ -45,8 +45,8 @@
         """Count a request of a caller."""
         self._current(now)[0] += 1
 
-    def try_spend(self, now, node_count):
-        """Take one repeat out of the budget, if there is one.
+    def has_room(self, now, node_count):
+        """Tell whether the budget has another repeat.
 
         Parameters
         ----------
@@ -55,7 +55,7 @@
         node_count : int
             Nodes among which the constant part is shared.
         """
-        current = self._current(now)
+        self._current(now)
         requests = 0
         repeats = 0
         for _, (request_count, repeat_count) in self._counts:
@@ -64,7 +64,11 @@
         allowed = USED_SHARE * (
             self._ratio * requests + self._constant / max(1, node_count)
         )
-        if repeats + 1 > allowed:
+        return repeats + 1 <= allowed
+
+    def try_spend(self, now, node_count):
+        """Take one repeat out of the budget, if there is one."""
+        if not self.has_room(now, node_count):
             return False
-        current[1] += 1
+        self._current(now)[1] += 1
         return True
--- a/shallotbridge/traffic/selection.py
+++ b/shallotbridge/traffic/selection.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 
 from ..core import errors
 
@@ -19,7 +20,7 @@
 LOAD_AGE_SECONDS = 2.0
 # What leaving the own failure domain has to gain, s. It covers the way there
 # and back and keeps bytes between domains low.
-OTHER_DOMAIN_SECONDS = 0.025
+OTHER_DOMAIN_SECONDS = 0.045
 # Failures count like this much more time, s, multiplied by their share.
 FAILURE_SECONDS = 1.5
 # Time after which half of what is known of an upstream's speed and failures
@@ -104,7 +105,7 @@
             state = self._states_by_id[upstream_id] = _OwnerState()
         return state
 
-    def choose(self, upstreams, route, excluded, now):
+    def choose(self, upstreams, route, excluded, now, maximum_wait=math.inf):
         """Return the best upstream for the next attempt of a request.
 
         Parameters
@@ -115,6 +116,8 @@
         excluded : set of str
             Ids that this request was already offered to.
         now : float
+        maximum_wait : float
+            Owner nodes that recently stated a longer one are left out, s.
 
         Returns
         -------
@@ -137,8 +140,10 @@
             state = self._state(upstream_id)
             if state.is_suspect or state.closed_until > now:
                 continue
-            candidates += 1
             wait = self._expected_wait(state, upstream, run_seconds, now)
+            if wait > maximum_wait:
+                continue
+            candidates += 1
             speed, failures = self._recent(state, now)
             cost = (
                 wait
--- /dev/null
+++ b/tests/distribution/test_mirror.py
@@ -0,0 +1,54 @@
+"""The copy of the published items."""
+
+from shallotbridge._generated import link
+from shallotbridge.distribution import mirror
+
+
+def _item(key, revision, value=b"x"):
+    return link.PublishedItem(key=key, revision=revision, value=value)
+
+
+def test_changes_since_a_revision_bring_a_peer_up_to_date():
+    """Guards against peers that miss a deletion."""
+    first = mirror.ItemMirror()
+    first.replace([_item("a", 1), _item("b", 2)], 2)
+    second = mirror.ItemMirror()
+    second.replace([_item("a", 1), _item("b", 2)], 2)
+    first.apply([_item("a", 3, None), _item("c", 4)], 4)
+    is_whole, items = first.changes_since(2)
+    assert not is_whole
+    second.apply(items, 4)
+    assert second.items_by_key == first.items_by_key
+    assert set(second.items_by_key) == {"b", "c"}
+
+
+def test_an_older_copy_is_ignored():
+    """Guards against going back to what a stale read shows."""
+    items = mirror.ItemMirror()
+    items.replace([_item("a", 5)], 5)
+    assert not items.replace([_item("a", 3, b"old")], 4)
+    assert items.items_by_key["a"].revision == 5
+
+
+def test_an_older_change_is_ignored():
+    """Guards against crossed answers of the platform and of a peer."""
+    items = mirror.ItemMirror()
+    items.apply([_item("a", 5, b"new")], 5)
+    items.apply([_item("a", 3, b"old"), _item("a", 4, None)], 4)
+    assert items.items_by_key["a"].value == b"new"
+    assert items.position == 5
+
+
+def test_a_whole_copy_drops_what_it_does_not_list():
+    """Guards against upstreams that left while history was lost."""
+    items = mirror.ItemMirror()
+    items.replace([_item("a", 1), _item("b", 2)], 2)
+    items.replace([_item("b", 2)], 9)
+    assert set(items.items_by_key) == {"b"}
+
+
+def test_a_new_peer_gets_a_whole_copy():
+    """Guards against deltas for a node that has nothing."""
+    items = mirror.ItemMirror()
+    items.replace([_item("a", 1)], 1)
+    assert items.changes_since(0) == (True, [_item("a", 1)])
--- /dev/null
+++ b/tests/distribution/test_views.py
@@ -0,0 +1,101 @@
+"""From published items to the view in force."""
+
+import math
+
+from shallotbridge._generated import link
+from shallotbridge.core import errors
+from shallotbridge.distribution import views
+
+from tests.traffic import builders
+
+
+def _builder(content_by_value):
+    lines = []
+
+    def decode(key, value):
+        content = content_by_value[value]
+        if isinstance(content, Exception):
+            raise content
+        return content
+
+    def record(action, **fields):
+        lines.append((action, fields))
+
+    return views.ViewBuilder(decode=decode, record=record), lines
+
+
+def _items(**values):
+    return {
+        key: link.PublishedItem(key=key, revision=revision, value=value)
+        for key, (revision, value) in values.items()
+    }
+
+
+def _update(builder, items, now=0.0, outage_ended_at=-math.inf):
+    return builder.update(items, now=now, outage_ended_at=outage_ended_at)
+
+
+def test_a_configuration_never_goes_back():
+    """Guards against an older version after a newer one."""
+    builder, lines = _builder(
+        {
+            b"7": builders.configuration(version=7),
+            b"5": builders.configuration(version=5),
+        }
+    )
+    _update(builder, _items(config=(1, b"7")))
+    _update(builder, _items(config=(2, b"5")))
+    assert builder.view.configuration.version == 7
+    assert "configuration_ignored" in [action for action, _ in lines]
+
+
+def test_a_malformed_item_hurts_no_other_and_is_reported_once():
+    """Guards against another writer's entry that empties the view."""
+    builder, lines = _builder(
+        {
+            b"bad": errors.MalformedEntryError("slots missing"),
+            b"good": builders.upstream(1),
+        }
+    )
+    items = _items(a=(1, b"bad"), b=(2, b"good"))
+    _update(builder, items)
+    _update(builder, items)
+    assert list(builder.view.upstreams_by_id) == ["u1"]
+    assert [action for action, _ in lines].count("item_rejected") == 1
+
+
+def test_entries_that_lapse_in_an_outage_are_kept_for_two_seconds():
+    """Guards against refusing everything when a store comes back empty."""
+    builder, _ = _builder({b"good": builders.upstream(1)})
+    _update(builder, _items(a=(1, b"good")))
+    again_at = _update(builder, {}, now=10.0, outage_ended_at=9.5)
+    assert list(builder.view.upstreams_by_id) == ["u1"]
+    assert again_at == 11.5
+    _update(builder, {}, now=11.5, outage_ended_at=9.5)
+    assert not builder.view.upstreams_by_id
+
+
+def test_a_removed_entry_gets_nothing_more_without_an_outage():
+    """Guards against work for upstreams that leave without a notice."""
+    builder, _ = _builder({b"good": builders.upstream(1)})
+    _update(builder, _items(a=(1, b"good")))
+    _update(builder, {}, now=10.0, outage_ended_at=2.0)
+    assert not builder.view.upstreams_by_id
+
+
+def test_draining_upstreams_and_domains_out_get_no_new_work():
+    """Guards against new work for what leaves."""
+    builder, _ = _builder(
+        {
+            b"1": builders.upstream(1, is_draining=True),
+            b"2": builders.upstream(2, failure_domain="b"),
+            b"3": builders.upstream(3),
+            b"b": "b",
+        }
+    )
+    _update(
+        builder,
+        _items(a=(1, b"1"), b=(2, b"2"), c=(3, b"3"), d=(4, b"b")),
+    )
+    usable = builder.view.usable_upstreams("shop")
+    assert [one.upstream_id for one in usable] == ["u3"]
--- /dev/null
+++ b/tests/peers/test_links.py
@@ -0,0 +1,216 @@
+"""Connections between nodes, over loopback."""
+
+import pytest
+import trio
+
+from shallotbridge._generated import link
+from shallotbridge.core import errors
+from shallotbridge.peers import frames
+from shallotbridge.peers import links
+from shallotbridge.peers import server
+from shallotbridge.transports import tcp
+
+LOAD = link.Load(slots=1, free=1, wait_ms=0.0, is_open=True, position=5)
+
+
+def _work(call_id):
+    return link.Work(
+        call_id=call_id,
+        upstream_id="u",
+        service="shop",
+        route="browse",
+        request_id=f"r{call_id}",
+        method="GET",
+        target="/",
+        headers=(),
+        body=b"",
+        remaining_ms=1000.0,
+        objective_ms=300.0,
+        priority=1,
+        is_idempotent=True,
+        expected_ms=100.0,
+        sent_at=trio.current_time(),
+    )
+
+
+def _answer(work):
+    return link.Answer(
+        call_id=work.call_id,
+        status=200,
+        headers=(),
+        body=work.request_id.encode(),
+        run_ms=1.0,
+        load=LOAD,
+    )
+
+
+class _Peer:
+    """A node that serves on loopback, and a link to it."""
+
+    def __init__(self, run_work):
+        self.run_work = run_work
+        self.states = []
+        self.positions = []
+
+    async def start(self, nursery):
+        async def answer_pull(pull):
+            return link.Items(
+                call_id=pull.call_id, position=9, is_whole=False, items=()
+            )
+
+        peer_server = server.PeerServer(
+            run_work=self.run_work,
+            answer_pull=answer_pull,
+            read_load=lambda: LOAD,
+            on_position=lambda address, position: None,
+        )
+        self.address, self.port = await nursery.start(
+            tcp.serve, "127.0.0.1", 0, peer_server.handle
+        )
+        self.link = links.PeerLink(
+            open_stream=tcp.open_stream,
+            address=self.address,
+            port=self.port,
+            nursery=nursery,
+            read_position=lambda: 1,
+            on_position=lambda address, at: self.positions.append(at),
+            on_load=lambda address, load: None,
+            on_state=lambda address, is_up, why: self.states.append(is_up),
+        )
+
+
+async def test_answers_that_cross_reach_their_own_callers(nursery):
+    """Guards against an answer that goes to another request."""
+    first_may_end = trio.Event()
+
+    async def run_work(work, delay):
+        if work.call_id == 1:
+            await first_may_end.wait()
+        return _answer(work)
+
+    peer = _Peer(run_work)
+    await peer.start(nursery)
+    bodies = []
+
+    async def ask():
+        call_id = peer.link.next_call_id()
+        reply = await peer.link.exchange(_work(call_id))
+        bodies.append((call_id, reply.body))
+        first_may_end.set()
+
+    with trio.fail_after(5):
+        async with trio.open_nursery() as callers:
+            callers.start_soon(ask)
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            callers.start_soon(ask)
+    assert bodies == [(2, b"r2"), (1, b"r1")]
+    assert 5 in peer.positions
+
+
+async def test_a_caller_that_leaves_ends_the_work_at_the_peer(nursery):
+    """Guards against upstreams that work for nobody."""
+    started = trio.Event()
+    ended = trio.Event()
+
+    async def run_work(work, delay):
+        started.set()
+        try:
+            await trio.sleep_forever()
+        finally:
+            ended.set()
+
+    peer = _Peer(run_work)
+    await peer.start(nursery)
+    with trio.fail_after(5):
+        async with trio.open_nursery() as callers:
+            callers.start_soon(
+                peer.link.exchange, _work(peer.link.next_call_id())
+            )
+            await started.wait()
+            callers.cancel_scope.cancel()
+        await ended.wait()
+
+
+async def test_nobody_listening_means_not_run(nursery):
+    """Guards against an unknown outcome where nothing was sent."""
+    peer = _Peer(None)
+    await peer.start(nursery)
+    with trio.socket.socket() as unused:
+        await unused.bind(("127.0.0.1", 0))
+        peer.link._port = unused.getsockname()[1]
+        with pytest.raises(errors.UpstreamUnreachableError):
+            await peer.link.exchange(_work(1))
+    assert peer.states == [False]
+
+
+async def test_a_connection_lost_in_flight_leaves_the_outcome_unknown(
+    nursery,
+):
+    """Guards against telling "not run" when the peer may have run it."""
+    peer = _Peer(None)
+    await peer.start(nursery)
+
+    async def reset(stream):
+        await stream.receive_some()
+
+    peer.link._port = (await nursery.start(tcp.serve, "127.0.0.1", 0, reset))[
+        1
+    ]
+    with trio.fail_after(5), pytest.raises(errors.OutcomeUnknownError):
+        await peer.link.exchange(_work(1))
+
+
+async def test_a_silent_peer_is_avoided_and_then_given_up(nursery):
+    """Guards against requests that wait for a peer that is cut off."""
+    peer = _Peer(None)
+    await peer.start(nursery)
+
+    async def be_silent(stream):
+        await trio.sleep_forever()
+
+    peer.link._port = (
+        await nursery.start(tcp.serve, "127.0.0.1", 0, be_silent)
+    )[1]
+    started = trio.current_time()
+    with trio.fail_after(10), pytest.raises(errors.OutcomeUnknownError):
+        await peer.link.exchange(_work(1))
+    assert trio.current_time() - started < 3 * links.SILENCE_SECONDS
+    assert peer.states[:2] == [True, False]
+
+
+async def test_bytes_that_are_no_message_end_only_their_connection(nursery):
+    """Guards against a stray client that takes the node's port down."""
+
+    async def run_work(work, delay):
+        return _answer(work)
+
+    peer = _Peer(run_work)
+    await peer.start(nursery)
+    with trio.fail_after(5):
+        stream = await tcp.open_stream(peer.address, peer.port)
+        await stream.send_all(b"GET / HTTP/1.1\r\n\r\n" * 10)
+        assert await stream.receive_some() == b""
+        reply = await peer.link.exchange(_work(1))
+    assert reply.status == 200
+
+
+async def test_time_on_the_way_is_measured_by_the_fastest_message():
+    """Guards against running a request whose caller has left meanwhile."""
+    delays = server._Delays()
+    now = trio.current_time()
+    assert delays.measure(now + 100.0) == 0.0
+    assert delays.measure(now + 99.0) == pytest.approx(1.0, abs=0.05)
+
+
+def test_a_frame_beyond_the_bound_is_refused():
+    """Guards against a length that would fill the memory."""
+
+    class _Stream:
+        async def receive_some(self, max_bytes):
+            return b"\xff" * 8
+
+    async def read():
+        await frames.FrameReader(stream=_Stream()).read()
+
+    with pytest.raises(errors.MalformedFrameError):
+        trio.run(read)
--- /dev/null
+++ b/tests/platform/test_items.py
@@ -0,0 +1,180 @@
+"""Decoding of the platform's items."""
+
+import json
+
+import pytest
+
+from shallotbridge.core import errors
+from shallotbridge.platform import items
+
+ENTRY = {
+    "address": "10.1.0.9:8080",
+    "information": {
+        "service": "shop",
+        "version": "v1",
+        "zone": "cairo-a",
+        "slots": 6,
+    },
+    "status": {"state": "ready", "sequence": 4, "cold_remaining": "1500ms"},
+    "born": 1700000000000,
+}
+CONFIGURATION = {
+    "version": 7,
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 65536,
+        "header_timeout": "3000ms",
+        "idle_timeout": "15s",
+    },
+    "listeners": [
+        {
+            "host": "Shop.example",
+            "rules": [
+                {
+                    "name": "hold",
+                    "kind": "non_idempotent",
+                    "target_latency": "400ms",
+                    "priority": 1,
+                    "match": {"path_prefix": "/hold/"},
+                    "action": {
+                        "service": "shop",
+                        "timeout": "800ms",
+                        "max_attempts": 2,
+                    },
+                },
+                {
+                    "name": "browse",
+                    "kind": "idempotent",
+                    "target_latency": "300ms",
+                    "priority": 2,
+                    "match": {"path_prefix": "/browse/"},
+                    "action": {
+                        "traffic_split": [
+                            {"service": "shop", "weight": 90},
+                            {"service": "new", "weight": 10},
+                        ],
+                        "timeout": "1200ms",
+                        "max_attempts": 2,
+                    },
+                },
+            ],
+        }
+    ],
+    "clusters": [
+        {
+            "name": name,
+            "health_check_path": "/health",
+            "max_connections": 110,
+            "protocol": "h1",
+            "transport_security": False,
+            "cold_start": "3s",
+            "cold_per_s": 16.0,
+        }
+        for name in ("shop", "new")
+    ],
+}
+
+
+def _changed(document, path, value):
+    copy = json.loads(json.dumps(document))
+    target = copy
+    for key in path[:-1]:
+        target = target[key]
+    if value is None:
+        del target[path[-1]]
+    else:
+        target[path[-1]] = value
+    return json.dumps(copy).encode()
+
+
+def test_an_entry_becomes_an_upstream():
+    """Guards against a field read as another one."""
+    found = items.decode_item("servers/i-1", json.dumps(ENTRY).encode())
+    assert (found.upstream_id, found.address, found.port) == (
+        "i-1",
+        "10.1.0.9",
+        8080,
+    )
+    assert (found.service, found.failure_domain, found.slots) == (
+        "shop",
+        "cairo-a",
+        6,
+    )
+    assert found.cold_seconds == 1.5
+    assert found.started_ms == 1700000000000
+    assert not found.is_draining
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (["address"], "10.1.0.9"),
+        (["address"], None),
+        (["information", "slots"], "6"),
+        (["information", "slots"], 0),
+        (["information", "service"], None),
+        (["status", "state"], "gone"),
+        (["status", "cold_remaining"], "soon"),
+        (["born"], 1.5),
+        (["born"], True),
+    ],
+)
+def test_an_entry_of_another_writer_names_nothing(path, value):
+    """Guards against entries with missing or mistyped fields."""
+    with pytest.raises(errors.MalformedEntryError):
+        items.decode_item("servers/i-1", _changed(ENTRY, path, value))
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"{", b"null"])
+def test_bytes_that_cannot_be_read_name_nothing(value):
+    """Guards against undecodable bytes that end the program."""
+    with pytest.raises(errors.MalformedEntryError):
+        items.decode_item("servers/i-1", value)
+    with pytest.raises(errors.MalformedEntryError):
+        items.decode_item("op/config", value)
+
+
+def test_a_configuration_keeps_all_that_it_says():
+    """Guards against limits, splits or times that get lost."""
+    value = json.dumps(CONFIGURATION).encode()
+    found = items.decode_item("op/config", value)
+    routes = found.routes_by_host["shop.example"]
+    hold, browse = routes["/hold/"], routes["/browse/"]
+    assert found.version == 7
+    assert not hold.is_idempotent and browse.is_idempotent
+    assert (hold.timeout_seconds, hold.objective_seconds) == (0.8, 0.4)
+    assert [(d.service, d.weight) for d in browse.destinations] == [
+        ("shop", 90),
+        ("new", 10),
+    ]
+    assert found.limits.idle_seconds == 15.0
+    assert found.services_by_name["shop"].cold_rate == 16.0
+
+
+_RULE = ["listeners", 0, "rules", 0]
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (_RULE + ["action", "service"], "unknown"),
+        (_RULE + ["action", "timeout"], None),
+        (_RULE + ["action", "timeout"], "0ms"),
+        (_RULE + ["match", "path_prefix"], "/hold"),
+        (_RULE + ["match", "path_prefix"], "/browse/"),
+        (_RULE + ["action", "max_attempts"], 0),
+        (["version"], 0),
+        (["limits", "max_body_bytes"], -1),
+        (["clusters"], None),
+    ],
+)
+def test_a_bad_version_is_refused_whole(path, value):
+    """Guards against a version that is applied in part."""
+    with pytest.raises(errors.MalformedEntryError):
+        items.decode_item("op/config", _changed(CONFIGURATION, path, value))
+
+
+def test_domains_out_and_foreign_keys():
+    """Guards against keys of others that are taken for our own."""
+    assert items.decode_item("op/evacuate/cairo-a", b"{}") == "cairo-a"
+    assert items.decode_item("my/leader", b"x") is None
--- /dev/null
+++ b/tests/traffic/test_client_connections.py
@@ -0,0 +1,149 @@
+"""Connections of clients, over loopback."""
+
+import contextlib
+
+import pytest
+import trio
+
+from shallotbridge.core import model as messages
+from shallotbridge.traffic import client_connections
+from shallotbridge.traffic import model
+from shallotbridge.transports import tcp
+
+
+@contextlib.asynccontextmanager
+async def _serving(answer, limits=model.DEFAULT_CLIENT_LIMITS):
+    """Yield the connections and an open stream to them."""
+    connections = client_connections.ClientConnections(
+        answer=answer,
+        refuse=lambda error: messages.Response(
+            status=error.status, headers=(), body=b""
+        ),
+        read_limits=lambda: limits,
+    )
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(
+            tcp.serve, "127.0.0.1", 0, connections.handle
+        )
+        stream = await tcp.open_stream(*address)
+        with trio.fail_after(10):
+            yield connections, stream
+        stream.close()
+        nursery.cancel_scope.cancel()
+
+
+def _request(path):
+    return f"GET {path} HTTP/1.1\r\nhost: a\r\n\r\n".encode()
+
+
+async def _read_until(stream, text):
+    received = b""
+    while text not in received:
+        part = await stream.receive_some()
+        if not part:
+            break
+        received += part
+    return received
+
+
+async def test_pipelined_requests_run_together_and_are_answered_in_order():
+    """Guards against answers in the order of their ends."""
+    second_runs = trio.Event()
+
+    async def answer(request):
+        if request.target == "/1":
+            await second_runs.wait()
+        second_runs.set()
+        return messages.Response(
+            status=200, headers=(), body=request.target.encode()
+        )
+
+    async with _serving(answer) as (_, stream):
+        await stream.send_all(_request("/1") + _request("/2"))
+        received = await _read_until(stream, b"/2")
+    assert received.index(b"/1") < received.index(b"/2")
+
+
+async def test_a_client_that_leaves_cancels_its_request():
+    """Guards against work for a client that has gone."""
+    started = trio.Event()
+    cancelled = trio.Event()
+
+    async def answer(request):
+        started.set()
+        try:
+            await trio.sleep_forever()
+        finally:
+            cancelled.set()
+
+    async with _serving(answer) as (_, stream):
+        await stream.send_all(_request("/1"))
+        await started.wait()
+        stream.close()
+        await cancelled.wait()
+
+
+async def test_a_failing_request_ends_only_its_own_connection():
+    """Guards against one request that takes others with it."""
+
+    async def answer(request):
+        if request.target == "/bad":
+            raise trio.BrokenResourceError("the test fails this request")
+        return messages.Response(status=200, headers=(), body=b"good")
+
+    async with _serving(answer) as (connections, stream):
+        await stream.send_all(_request("/bad"))
+        assert await stream.receive_some() == b""
+        assert connections.connection_count == 0
+
+
+@pytest.mark.parametrize("is_busy", [False, True])
+async def test_a_drain_ends_connections_that_become_idle(is_busy):
+    """Guards against a request that is taken long after the stop began."""
+    may_end = trio.Event()
+
+    async def answer(request):
+        await may_end.wait()
+        return messages.Response(status=200, headers=(), body=b"done")
+
+    async with _serving(answer) as (connections, stream):
+        if is_busy:
+            await stream.send_all(_request("/1"))
+            await trio.testing.wait_all_tasks_blocked(0.05)
+        connections.begin_drain()
+        may_end.set()
+        if is_busy:
+            assert b"done" in await _read_until(stream, b"done")
+        while connections.connection_count:
+            await trio.sleep(0.05)
+        assert await stream.receive_some() == b""
+
+
+async def test_answers_while_draining_close_the_connection():
+    """Guards against clients that keep a connection to a node that stops."""
+
+    async def answer(request):
+        return messages.Response(status=200, headers=(), body=b"done")
+
+    async with _serving(answer) as (connections, stream):
+        connections.begin_drain()
+        await stream.send_all(_request("/1"))
+        received = await _read_until(stream, b"done")
+        assert b"connection: close" in received
+
+
+async def test_a_head_that_takes_too_long_is_a_timeout():
+    """Guards against refusing a slow client as a malformed one."""
+
+    async def answer(request):
+        raise AssertionError("nothing was asked")
+
+    limits = model.ClientLimits(
+        maximum_head_bytes=1024,
+        maximum_body_bytes=1024,
+        head_seconds=0.1,
+        idle_seconds=5.0,
+    )
+    async with _serving(answer, limits) as (_, stream):
+        await stream.send_all(b"GET / HT")
+        assert b"408" in await _read_until(stream, b"\r\n\r\n")
--- /dev/null
+++ b/tests/traffic/test_selection.py
@@ -0,0 +1,114 @@
+"""Where requests go."""
+
+import random
+
+import pytest
+
+from shallotbridge._generated import link
+from shallotbridge.core import errors
+from shallotbridge.traffic import selection
+
+from tests.traffic import builders
+
+
+def _selector(*upstreams, seed=1):
+    selector = selection.Selector(own_domain="a", random=random.Random(seed))
+    selector.on_view(builders.view(None, *upstreams))
+    return selector
+
+
+def _load(free, wait_ms=0.0, is_open=True):
+    return link.Load(
+        slots=6, free=free, wait_ms=wait_ms, is_open=is_open, position=1
+    )
+
+
+def _choose(selector, upstreams, now=0.0, **options):
+    return selector.choose(
+        list(upstreams), builders.route(), set(), now, **options
+    ).upstream.upstream_id
+
+
+def test_the_own_domain_comes_first_while_it_has_room():
+    """Guards against bytes between domains that serve nobody."""
+    pair = builders.upstream(1), builders.upstream(2, failure_domain="b")
+    selector = _selector(*pair)
+    assert {_choose(selector, pair) for _ in range(50)} == {"u1"}
+
+
+def test_work_leaves_the_own_domain_before_a_queue_forms():
+    """Guards against waiting at home beside free slots elsewhere."""
+    pair = builders.upstream(1), builders.upstream(2, failure_domain="b")
+    selector = _selector(*pair)
+    selector.on_load("10.0.0.1", _load(free=0, wait_ms=80.0), 0.0)
+    selector.on_load("10.0.0.2", _load(free=4), 0.0)
+    assert _choose(selector, pair) == "u2"
+
+
+def test_one_free_upstream_does_not_draw_all_requests():
+    """Guards against a herd onto the upstream that reported free slots.
+
+    Pattern: one report of two free slots, twenty requests before the next.
+    """
+    several = [builders.upstream(number) for number in (1, 2, 3)]
+    selector = _selector(*several)
+    for number, free in ((1, 2), (2, 0), (3, 0)):
+        selector.on_load(f"10.0.0.{number}", _load(free, 10.0), 0.0)
+    sent = []
+    for _ in range(20):
+        chosen = _choose(selector, several)
+        selector.on_sent(chosen)
+        sent.append(chosen)
+    assert max(sent.count(f"u{number}") for number in (1, 2, 3)) <= 10
+
+
+def test_a_slow_upstream_gets_less_and_is_tried_again():
+    """Guards against a third of the upstreams that turn five times slower."""
+    pair = builders.upstream(1), builders.upstream(2)
+    selector = _selector(*pair)
+    route = builders.route()
+    for _ in range(20):
+        selector.on_answer(pair[0], route, 0.5, 0.0)
+        selector.on_answer(pair[1], route, 0.1, 0.0)
+    assert {_choose(selector, pair, now=0.1) for _ in range(30)} == {"u2"}
+    later = {_choose(selector, pair, now=40.0) for _ in range(100)}
+    assert later == {"u1", "u2"}
+
+
+def test_an_upstream_that_fails_while_its_health_is_good_is_avoided():
+    """Guards against sending on to an upstream that only looks sound."""
+    pair = builders.upstream(1), builders.upstream(2)
+    selector = _selector(*pair)
+    for _ in range(5):
+        selector.on_failure(pair[0], 0.0)
+    assert {_choose(selector, pair) for _ in range(30)} == {"u2"}
+
+
+def test_an_unreachable_owner_is_left_out_until_it_is_reached():
+    """Guards against requests into a domain that is cut off."""
+    pair = builders.upstream(1), builders.upstream(2)
+    selector = _selector(*pair)
+    selector.on_unreachable("10.0.0.1")
+    assert {_choose(selector, pair) for _ in range(30)} == {"u2"}
+    assert selector.suspect_addresses() == ["10.0.0.1"]
+    selector.on_reached("10.0.0.1")
+    assert "u1" in {_choose(selector, pair) for _ in range(100)}
+
+
+def test_an_owner_that_is_closed_is_asked_again_later():
+    """Guards against losing an upstream that drained or was cold."""
+    only = builders.upstream(1)
+    selector = _selector(only)
+    selector.on_load("10.0.0.1", _load(0, is_open=False), 0.0)
+    with pytest.raises(errors.NoUpstreamError):
+        _choose(selector, [only], now=0.1)
+    assert _choose(selector, [only], now=1.0) == "u1"
+
+
+def test_long_waits_can_be_ruled_out():
+    """Guards against offers that are known to be refused."""
+    only = builders.upstream(1)
+    selector = _selector(only)
+    selector.on_load("10.0.0.1", _load(0, wait_ms=500.0), 0.0)
+    with pytest.raises(errors.NoUpstreamError):
+        _choose(selector, [only], now=0.1, maximum_wait=0.1)
