Prefer the newest upstream at an address; fewer watches; whole-node tests

Change: the newest entry at an address counts; a host that runs another instance is left out for a second; two readers a failure domain, which the others pull from in turn, and which pass on when the platform was away.

--- a/shallotbridge/_generated/link.py
+++ b/shallotbridge/_generated/link.py
@@ -201,3 +201,5 @@
     # true: items not listed do not exist
     is_whole: bool
     items: tuple[PublishedItem, ...]
+    # time since the sender found the platform unavailable
+    outage_age_s: float
--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -11,12 +11,12 @@
 from ..core import errors
 
 # Nodes of a failure domain that watch the platform; the others ask them.
-READERS_PER_DOMAIN = 3
+READERS_PER_DOMAIN = 2
 # Time that a watch waits at the platform for news, s. A lost answer is
 # noticed after it, and each watch costs a call.
 WATCH_SECONDS = 4.0
 # After news, time in which further changes are gathered into one call, s.
-GATHER_SECONDS = 0.2
+GATHER_SECONDS = 0.3
 # Time between attempts while the platform is unavailable, s.
 RETRY_SECONDS = 0.3
 MAXIMUM_RETRY_SECONDS = 1.0
@@ -24,9 +24,12 @@
 # it is still ahead after the delay.
 GOSSIP_SECONDS = 0.5
 CATCH_UP_DELAY_SECONDS = 0.3
-# Longest time that a pull waits at a reader for news, s.
-PULL_WAIT_SECONDS = 5.0
+# Longest time that a pull waits at a reader for news, s. The next pull goes
+# to another reader, which covers one that lost the platform unnoticed.
+PULL_WAIT_SECONDS = 1.0
 PULL_TIMEOUT_SECONDS = 1.5
+# An outage that ended this long ago does not matter any more, s.
+MAXIMUM_OUTAGE_AGE_SECONDS = 3600.0
 
 
 class Follower:
@@ -87,6 +90,7 @@
         self._changed = trio.Event()
         self._ahead = None
         self._ahead_event = trio.Event()
+        self._pull_count = 0
         self.unavailable_at = -math.inf
         self.call_count = 0
 
@@ -164,8 +168,9 @@
 
     async def _pull_from_reader(self):
         readers = self._ranked_domain()[:READERS_PER_DOMAIN]
-        self._random.shuffle(readers)
-        for address in readers:
+        self._pull_count += 1
+        first = self._pull_count % len(readers)
+        for address in readers[first:] + readers[:first]:
             try:
                 await self.pull(address, PULL_WAIT_SECONDS)
             except errors.CallError as error:
@@ -176,7 +181,6 @@
                     detail=error.detail,
                 )
             else:
-                await trio.sleep(GATHER_SECONDS)
                 return
         await self._watch_once()
 
@@ -205,6 +209,9 @@
         )
 
     def _take(self, reply, address):
+        self.unavailable_at = max(
+            self.unavailable_at, trio.current_time() - reply.outage_age_s
+        )
         if reply.position <= self._mirror.position:
             return
         self._record(
@@ -235,6 +242,10 @@
             position=position,
             is_whole=is_whole,
             items=tuple(items),
+            outage_age_s=min(
+                MAXIMUM_OUTAGE_AGE_SECONDS,
+                trio.current_time() - self.unavailable_at,
+            ),
         )
 
     def on_position(self, address, position):
--- a/shallotbridge/distribution/views.py
+++ b/shallotbridge/distribution/views.py
@@ -66,6 +66,7 @@
                 domains_out.add(content)
             elif content is not None:
                 configuration = self._newer(configuration, content)
+        self._drop_superseded(upstreams_by_id)
         again_at = self._keep_lapsed(upstreams_by_id, now, outage_ended_at)
         self._record_changes(upstreams_by_id, domains_out)
         self.view = model.MeshView(
@@ -113,6 +114,23 @@
         )
         return found
 
+    def _drop_superseded(self, upstreams_by_id):
+        """Keep only the newest upstream at each address.
+
+        The entry of one that crashed stays until its heartbeats are missed.
+        """
+        newest_by_place = {}
+        for upstream in upstreams_by_id.values():
+            place = (upstream.address, upstream.port)
+            known = newest_by_place.get(place)
+            if known is None or known.started_ms < upstream.started_ms:
+                newest_by_place[place] = upstream
+        for upstream_id, upstream in list(upstreams_by_id.items()):
+            if newest_by_place[upstream.address, upstream.port] is not (
+                upstream
+            ):
+                del upstreams_by_id[upstream_id]
+
     def _keep_lapsed(self, upstreams_by_id, now, outage_ended_at):
         """Keep upstreams whose entries may come back."""
         until = outage_ended_at + LAPSED_SECONDS
--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -281,6 +281,8 @@
             )
             error.has_arrived = reply.has_arrived
             error.retry_after = reply.retry_after_ms / 1000 or None
+            if isinstance(error, errors.UnknownServiceError):
+                selector.on_other_instance(upstream.upstream_id, now)
             if reply.has_arrived:
                 selector.on_failure(upstream, now)
             raise error
--- a/shallotbridge/traffic/selection.py
+++ b/shallotbridge/traffic/selection.py
@@ -28,6 +28,9 @@
 HALF_LIFE_SECONDS = 4.0
 # An owner node that takes no work is asked again after this time, s.
 CLOSED_SECONDS = 0.3
+# An upstream whose owner node says that another instance runs there is left
+# out for this time, s; entries are corrected within some seconds.
+OTHER_INSTANCE_SECONDS = 1.0
 # Random part of the expected time, s: keeps the nodes from choosing the same
 # upstream in the same moment.
 SPREAD_SECONDS = 0.008
@@ -210,6 +213,10 @@
         state.sent_since_load = 0
         state.closed_until = 0.0 if load.is_open else now + CLOSED_SECONDS
 
+    def on_other_instance(self, upstream_id, now):
+        """Avoid an upstream whose host now runs another one."""
+        self._state(upstream_id).closed_until = now + OTHER_INSTANCE_SECONDS
+
     def on_reached(self, address):
         """Note that an owner node can be reached."""
         state = self._states_by_id.get(self._ids_by_address.get(address))
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,184 @@
+"""Stand-in for the platform's store and for an upstream on it.
+
+Both speak HTTP/1.1 through the project's own reader; they are not part of
+the product.
+"""
+
+import base64
+import json
+import urllib.parse
+
+import trio
+
+from shallotbridge.core import http1
+from shallotbridge.core import http1_encoding
+from shallotbridge.core import model
+
+PAGE_ITEMS = 50
+
+
+class StoreState:
+    """Items with revisions, and faults.
+
+    Attributes
+    ----------
+    status : int or None
+        Every call is answered with it, as while the store is away.
+    is_silent : bool
+        No call is answered.
+    """
+
+    def __init__(self):
+        self.items_by_key = {}
+        self.revision = 1
+        self.oldest_event = 0
+        self.status = None
+        self.is_silent = False
+        self.calls = []
+        self._events = []
+        self._changed = trio.Event()
+
+    def put(self, key, document):
+        """Write an item; a dictionary becomes JSON."""
+        if isinstance(document, dict):
+            document = json.dumps(document).encode()
+        self.revision += 1
+        item = {
+            "key": key,
+            "value": base64.b64encode(document).decode(),
+            "revision": self.revision,
+            "created_at": self.revision,
+            "lease_id": 0,
+        }
+        self.items_by_key[key] = item
+        self._add_event(item)
+
+    def delete(self, key):
+        """Remove an item."""
+        del self.items_by_key[key]
+        self.revision += 1
+        self._add_event(
+            {"key": key, "revision": self.revision, "deleted": True}
+        )
+
+    def forget_history(self):
+        """Answer watches of older revisions with 410."""
+        self.oldest_event = self.revision
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def _add_event(self, event):
+        self._events.append(event)
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def answer(self, request):
+        """Return the response to a call."""
+        path, _, query = request.target.partition("?")
+        fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+        self.calls.append(path)
+        if self.is_silent:
+            await trio.sleep_forever()
+        if self.status is not None:
+            return _response(self.status, {})
+        if path == "/v1/kv-range":
+            return self._range(fields)
+        if path == "/v1/kv-watch":
+            return await self._watch(fields)
+        return _response(404, {})
+
+    def _range(self, fields):
+        keys = sorted(
+            key
+            for key in self.items_by_key
+            if key.startswith(fields["path_prefix"])
+            and key > fields.get("after", "")
+        )
+        page = [self.items_by_key[key] for key in keys[:PAGE_ITEMS]]
+        return _response(
+            200,
+            {
+                "items": page,
+                "has_more": len(keys) > PAGE_ITEMS,
+                "at": self.revision,
+            },
+        )
+
+    async def _watch(self, fields):
+        after = int(fields["after"])
+        events = []
+        with trio.move_on_after(int(fields["wait_timeout_ms"]) / 1000):
+            while after >= self.oldest_event:
+                events = [
+                    event
+                    for event in self._events
+                    if event["revision"] > after
+                    and event["key"].startswith(fields["path_prefix"])
+                ]
+                if events:
+                    break
+                await self._changed.wait()
+        if after < self.oldest_event:
+            return _response(410, {})
+        return _response(200, {"events": events, "at": self.revision})
+
+
+class UpstreamState:
+    """An upstream that answers each request after some time.
+
+    Attributes
+    ----------
+    requests : list of model.Request
+        Those that it ran.
+    """
+
+    def __init__(self, instance_id, *, seconds=0.01):
+        self.instance_id = instance_id
+        self.seconds = seconds
+        self.requests = []
+        self.cold_ms = 0
+        self.may_answer = trio.Event()
+        self.may_answer.set()
+
+    async def answer(self, request):
+        """Return the response to a request."""
+        own = model.Header(name="instance-id", value=self.instance_id)
+        if request.target == "/health":
+            cold = model.Header(name="cold-remaining", value=str(self.cold_ms))
+            return model.Response(status=200, headers=(own, cold))
+        if request.header("target-instance") != self.instance_id:
+            refused = model.Header(name="not-executed", value="1")
+            return model.Response(status=421, headers=(own, refused))
+        self.requests.append(request)
+        await trio.sleep(self.seconds)
+        await self.may_answer.wait()
+        request_id = request.header("attempt-id")
+        return model.Response(
+            status=200,
+            headers=(
+                model.Header(name="attempt-id", value=request_id),
+                model.Header(name="server-signature", value="s"),
+            ),
+            body=f"{self.instance_id} {request_id}".encode(),
+        )
+
+
+def _response(status, document):
+    return model.Response(
+        status=status, headers=(), body=json.dumps(document).encode()
+    )
+
+
+def make_handler(answer):
+    """Return a handler of connections that answers one after the other."""
+
+    async def handle(stream):
+        reader = http1.RequestReader(stream=stream)
+        while await reader.wait_request():
+            request = await reader.read()
+            response = await answer(request)
+            await stream.send_all(
+                http1_encoding.encode_response(response, method=request.method)
+            )
+
+    return handle
--- a/tests/distribution/test_views.py
+++ b/tests/distribution/test_views.py
@@ -99,3 +99,21 @@
     )
     usable = builder.view.usable_upstreams("shop")
     assert [one.upstream_id for one in usable] == ["u3"]
+
+
+def test_an_upstream_that_started_anew_replaces_the_one_before():
+    """Guards against requests for an instance that a power loss ended.
+
+    Pattern: all upstreams restart with new ids while their old entries
+    still stand.
+    """
+    builder, _ = _builder(
+        {
+            b"old": builders.upstream(1, started_ms=1000),
+            b"new": builders.upstream(
+                1, upstream_id="u1-again", started_ms=2000
+            ),
+        }
+    )
+    _update(builder, _items(a=(1, b"old"), b=(2, b"new")))
+    assert list(builder.view.upstreams_by_id) == ["u1-again"]
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -55,7 +55,11 @@
     async def start(self, nursery):
         async def answer_pull(pull):
             return link.Items(
-                call_id=pull.call_id, position=9, is_whole=False, items=()
+                call_id=pull.call_id,
+                position=9,
+                is_whole=False,
+                items=(),
+                outage_age_s=3600.0,
             )
 
         peer_server = server.PeerServer(
--- /dev/null
+++ b/tests/runtime/test_node.py
@@ -0,0 +1,304 @@
+"""Whole nodes on loopback, with stand-ins of the store and the upstreams."""
+
+import contextlib
+import itertools
+import random
+
+import trio
+
+from shallotbridge.core import errors
+from shallotbridge.core import http1
+from shallotbridge.core import http1_encoding
+from shallotbridge.core import model as messages
+from shallotbridge.platform import items
+from shallotbridge.platform import names
+from shallotbridge.platform import store as store_client
+from shallotbridge.runtime import metrics
+from shallotbridge.runtime import node as runtime
+from shallotbridge.traffic import model
+from shallotbridge.transports import tcp
+from standins import store as store_standin
+
+from tests.platform import test_items
+
+_subnets = itertools.count(20)
+CLIENT_PORT = 18147
+READY_PORT = 18141
+PEER_PORT = 17380
+UPSTREAM_PORT = 18145
+STORE_PORT = 18142
+# The other route of the configuration splits its requests.
+HOLD = {"path": "/hold/1", "method": "POST"}
+
+
+class _Mesh:
+    """Nodes with their upstreams, each on an address of its own."""
+
+    def __init__(self, nursery):
+        self.nursery = nursery
+        self.subnet = next(_subnets)
+        self.store = store_standin.StoreState()
+        self.nodes = []
+        self.upstreams = []
+
+    def address(self, number):
+        return f"127.0.{self.subnet}.{number}"
+
+    async def start(self, count, domains="ab"):
+        await self.nursery.start(
+            tcp.serve,
+            self.address(200),
+            STORE_PORT,
+            store_standin.make_handler(self.store.answer),
+        )
+        configuration = dict(test_items.CONFIGURATION)
+        self.store.put("op/config", configuration)
+        for number in range(1, count + 1):
+            await self._start_host(number, domains[number % len(domains)])
+        with trio.fail_after(10):
+            while not all(self._is_complete(one) for one in self.nodes):
+                await trio.sleep(0.02)
+
+    def _is_complete(self, node):
+        view = node.read_view()
+        return node.is_ready and len(view.upstreams_by_id) == len(self.nodes)
+
+    async def _start_host(self, number, domain):
+        address = self.address(number)
+        upstream = store_standin.UpstreamState(f"i-{number}")
+        self.upstreams.append(upstream)
+        await self.nursery.start(
+            tcp.serve,
+            address,
+            UPSTREAM_PORT,
+            store_standin.make_handler(upstream.answer),
+        )
+        self.store.put(f"servers/i-{number}", self.entry(number, domain))
+        node = self.make_node(number, domain)
+        self.nodes.append(node)
+        await node.start(self.nursery)
+
+    def entry(self, number, domain, **status):
+        entry = dict(test_items.ENTRY)
+        entry["address"] = f"{self.address(number)}:{UPSTREAM_PORT}"
+        entry["information"] = dict(
+            service="shop", version="v1", zone=domain, slots=2
+        )
+        entry["status"] = {
+            "state": "ready",
+            "sequence": 1,
+            "cold_remaining": "0ms",
+        } | status
+        return entry
+
+    def make_node(self, number, domain):
+        address = self.address(number)
+        client = store_client.Store(
+            open_stream=tcp.open_stream,
+            address=self.address(200),
+            port=STORE_PORT,
+        )
+        return runtime.Node(
+            terms=runtime.NodeTerms(
+                own_host=model.OwnHost(
+                    name=f"node-{number}",
+                    address=address,
+                    failure_domain=domain,
+                    service="shop",
+                    upstream_address=address,
+                    upstream_port=UPSTREAM_PORT,
+                ),
+                client_address=(address, CLIENT_PORT),
+                ready_address=(address, READY_PORT),
+                platform_address=(self.address(200), STORE_PORT),
+                peer_port=PEER_PORT,
+                retry_ratio=0.2,
+                retry_constant=50.0,
+                retry_window_seconds=10.0,
+                grace_seconds=6.0,
+            ),
+            names=names.HEADER_NAMES,
+            ready_path=names.READY_PATH,
+            network=tcp.tcp_network(),
+            read_all=client.read_all,
+            watch=client.watch,
+            decode_item=items.decode_item,
+            random=random.Random(number),
+            metrics=metrics.Metrics(),
+        )
+
+    async def ask(self, number, request_id, *, path="/browse/1", method="GET"):
+        """Send one request to a node and return the response."""
+        stream = await tcp.open_stream(self.address(number), CLIENT_PORT)
+        try:
+            await stream.send_all(
+                http1_encoding.encode_request(
+                    messages.Request(
+                        method=method,
+                        target=path,
+                        headers=tuple(
+                            messages.Header(name=name, value=value)
+                            for name, value in (
+                                ("host", "shop.example"),
+                                ("attempt-id", request_id),
+                                ("deadline-remaining", "3000"),
+                            )
+                        ),
+                    )
+                )
+            )
+            return await http1.ResponseReader(stream=stream).read(method)
+        finally:
+            stream.close()
+
+    def ran(self, request_id):
+        """Return how often a request ran on any upstream."""
+        return sum(
+            request.header("attempt-id") == request_id
+            for upstream in self.upstreams
+            for request in upstream.requests
+        )
+
+
+@contextlib.asynccontextmanager
+async def _mesh(count, **options):
+    async with trio.open_nursery() as nursery:
+        mesh = _Mesh(nursery)
+        await mesh.start(count, **options)
+        with trio.fail_after(30):
+            yield mesh
+        for node in mesh.nodes:
+            node.close()
+        nursery.cancel_scope.cancel()
+
+
+async def _wait_until(condition):
+    with trio.fail_after(8):
+        while not condition():
+            await trio.sleep(0.02)
+
+
+async def test_requests_are_served_wherever_they_enter():
+    """Guards against answers of other requests and against lost headers."""
+    async with _mesh(3) as mesh:
+        for index in range(12):
+            number = index % 3 + 1
+            response = await mesh.ask(number, f"r{index}")
+            assert response.status == 200
+            assert response.body.split()[1] == f"r{index}".encode()
+            assert response.header("server-signature") == "s"
+            assert mesh.ran(f"r{index}") == 1
+        request = mesh.upstreams[0].requests[0]
+        assert request.header("caller-service") == "shop"
+        assert request.header("target-instance") == "i-1"
+        assert 0 < int(request.header("deadline-remaining")) <= 1200
+
+
+async def test_an_unknown_route_is_refused_by_a_node_with_a_configuration():
+    """Guards against 404 for what a later configuration allows."""
+    async with _mesh(1) as mesh:
+        response = await mesh.ask(1, "r", path="/nothing/")
+        assert response.status == 404
+        assert mesh.ran("r") == 0
+
+
+async def test_a_draining_upstream_gets_nothing_new():
+    """Guards against new work for an upstream that leaves."""
+    async with _mesh(2) as mesh:
+        mesh.store.put("servers/i-1", mesh.entry(1, "b", state="draining"))
+        await _wait_until(
+            lambda: all(
+                one.read_view().upstreams_by_id["i-1"].is_draining
+                for one in mesh.nodes
+            )
+        )
+        for index in range(6):
+            response = await mesh.ask(1, f"r{index}", **HOLD)
+            assert response.body.startswith(b"i-2")
+
+
+async def test_a_domain_that_is_out_gets_nothing_new():
+    """Guards against work in a domain that operators took out."""
+    async with _mesh(2) as mesh:
+        mesh.store.put("op/evacuate/a", {})
+        await _wait_until(
+            lambda: all(one.read_view().domains_out for one in mesh.nodes)
+        )
+        for index in range(6):
+            response = await mesh.ask(2, f"r{index}", **HOLD)
+            assert response.body.startswith(b"i-1")
+        mesh.store.delete("op/evacuate/a")
+        await _wait_until(
+            lambda: not any(one.read_view().domains_out for one in mesh.nodes)
+        )
+
+
+async def test_a_node_that_the_store_turns_away_learns_from_its_peers():
+    """Guards against an old configuration at a node without the store."""
+    async with _mesh(2) as mesh:
+
+        async def unavailable(*arguments):
+            await trio.sleep(0.01)
+            raise errors.PlatformUnavailableError("turned away")
+
+        mesh.nodes[0]._follower._watch = unavailable
+        await trio.sleep(0.1)
+        mesh.store.put("op/config", test_items.CONFIGURATION | {"version": 9})
+        await _wait_until(
+            lambda: all(
+                one.read_view().configuration.version == 9
+                for one in mesh.nodes
+            )
+        )
+
+
+async def test_lost_history_is_read_anew():
+    """Guards against a watch that never comes back after 410."""
+    async with _mesh(1) as mesh:
+        mesh.store.forget_history()
+        mesh.store.put("op/config", test_items.CONFIGURATION | {"version": 9})
+        node = mesh.nodes[0]
+        await _wait_until(lambda: node.read_view().configuration.version == 9)
+
+
+async def test_a_stop_answers_what_runs_and_refuses_new_work_of_peers():
+    """Guards against requests that a planned stop cuts off."""
+    async with _mesh(2) as mesh:
+        for upstream in mesh.upstreams:
+            upstream.may_answer = trio.Event()
+        responses = []
+
+        async def ask(number):
+            responses.append(await mesh.ask(number, f"r{number}"))
+
+        async with trio.open_nursery() as callers:
+            callers.start_soon(ask, 1)
+            await _wait_until(lambda: mesh.ran("r1"))
+            callers.start_soon(mesh.nodes[0].drain)
+            await trio.sleep(0.05)
+            assert not mesh.nodes[0].is_ready
+            for upstream in mesh.upstreams:
+                upstream.may_answer.set()
+            response = await mesh.ask(2, "r2")
+            assert response.body.startswith(b"i-2")
+            response = await mesh.ask(1, "r3")
+            assert response.body.startswith(b"i-2")
+            assert response.header("connection") == "close"
+        assert [one.status for one in responses] == [200]
+
+
+async def test_a_request_that_must_not_run_twice_is_not_repeated():
+    """Guards against a second run after a lost connection."""
+    async with _mesh(2) as mesh:
+        for upstream in mesh.upstreams:
+            upstream.may_answer = _Cutting()
+        response = await mesh.ask(1, "r1", path="/hold/1", method="POST")
+        assert response.status == 502
+        assert mesh.ran("r1") == 1
+
+
+class _Cutting:
+    """In place of an event: ends the connection of who waits for it."""
+
+    async def wait(self):
+        raise trio.BrokenResourceError("the stand-in cuts the connection")
