--- a/shallotbridge/cli/__init__.py
+++ b/shallotbridge/cli/__init__.py
@@ -11,6 +11,7 @@
     "check",
     "diff",
     "domain",
+    "explain",
     "node",
     "status",
     "version",
--- /dev/null
+++ b/shallotbridge/cli/explain.py
@@ -0,0 +1,66 @@
+"""Command ``explain``."""
+
+import sys
+import typing
+
+import typer
+
+_HELP = """Print the history of a request from the logs of nodes.
+
+\b
+Example:
+  shallotbridge explain 9c41d07be2a35f68 node-1.log node-2.log
+
+\b
+Exit codes:
+  0  lines of the request were found
+  1  none were found
+  2  a file cannot be read
+"""
+
+
+def register(app):
+    """Add the command to the application."""
+    app.command("explain", help=_HELP)(_explain)
+
+
+def _explain(
+    request_id: typing.Annotated[
+        str,
+        typer.Argument(envvar="SHALLOTBRIDGE_REQUEST_ID", help="Its id."),
+    ],
+    files: typing.Annotated[
+        list[str],
+        typer.Argument(
+            envvar="SHALLOTBRIDGE_LOG_FILES",
+            help="Log files of any nodes.",
+        ),
+    ],
+):
+    from ..runtime import explain
+
+    lines = []
+    for path in files:
+        try:
+            with open(path, encoding="utf-8", errors="replace") as stream:
+                lines.extend(stream)
+        except OSError as error:
+            print(f"{path}: {error.strerror}", file=sys.stderr)
+            raise typer.Exit(2) from error
+    found = explain.explain(request_id, lines)
+    for title, steps in (
+        ("Shortly before, on the same hosts", found.context),
+        (f"Request {request_id}", found.steps),
+    ):
+        if steps:
+            typer.echo(title)
+        for step in steps:
+            fields = " ".join(
+                f"{name}={value}" for name, value in step.fields.items()
+            )
+            typer.echo(
+                f"  {step.at:.3f}  {step.host}  {step.action}  {fields}"
+            )
+    for sentence in found.missing():
+        typer.echo(sentence)
+    raise typer.Exit(0 if found.steps else 1)
