--- a/shallotbridge/core/node.py
+++ b/shallotbridge/core/node.py
@@ -33,7 +33,7 @@
 from . import suspects
 from . import sync
 from . import topology
-from ..transports import network as network_module
+from ..transports import peer_calls
 
 # The gate bounds requests in flight by the service's slots, which never
 # exceed its connections; this only bounds a fault.
@@ -49,7 +49,7 @@
     ----------
     settings : NodeSettings
     network : network.Network
-    peers : network.Peers
+    peers : peer_calls.Peers
     platform : network.Platform
     random : random.Random
     metrics : metrics.Metrics, optional
@@ -423,7 +423,7 @@
         )
 
     def _peer_handlers(self):
-        return network_module.PeerHandlers(
+        return peer_calls.PeerHandlers(
             sync=self._sync_server.sync,
             report_crash=self._service_handler.take_crash_report,
             lookup_key=self._service_handler.answer_key_query,
--- a/shallotbridge/core/service_messages.py
+++ b/shallotbridge/core/service_messages.py
@@ -93,7 +93,7 @@
     ----------
     own_host : model.Host
     hosts : hosts.HostTable
-    peers : network.Peers
+    peers : peer_calls.Peers
     spawn : callable
         ``spawn(function, *arguments)`` runs an async function in the
         background.
--- a/shallotbridge/peers/links.py
+++ b/shallotbridge/peers/links.py
@@ -13,8 +13,9 @@
 # peer is asked for a sign of life after the same time without any byte.
 WATCH_SECONDS = 0.1
 # A peer that does not answer a ping for this long gets no new requests, s.
-# Nodes are some ms apart; a lost packet is sent again after about 0.2 s.
-DOUBT_SECONDS = 0.3
+# Nodes are some ms apart. A lost packet, sent again after about 0.2 s, only
+# diverts requests for a moment.
+DOUBT_SECONDS = 0.15
 # Without any byte for this long after a ping, the connection is given up; a
 # lost packet is sent again by TCP within about 0.2 to 0.4 s.
 SILENCE_SECONDS = 1.2
--- a/shallotbridge/transports/grpc_peer.py
+++ b/shallotbridge/transports/grpc_peer.py
@@ -16,7 +16,7 @@
 from .._generated import peer_pb2_grpc
 from ..core import decisions
 from ..core import errors
-from . import network
+from . import peer_calls
 
 MAXIMUM_MESSAGE_BYTES = 4 * 1024 * 1024
 # Threads of the server: 32 held Sync calls and some for short calls.
@@ -71,7 +71,7 @@
 
     def as_peers(self):
         """Return the closures that the node uses."""
-        return network.Peers(
+        return peer_calls.Peers(
             sync=functools.partial(self._call, "Sync"),
             report_crash=functools.partial(
                 self._call_without_answer, "ReportCrash"
@@ -282,7 +282,7 @@
     address : str
     port : int
         0 takes a free port.
-    handlers : network.PeerHandlers
+    handlers : peer_calls.PeerHandlers
     task_status
         ``started`` is called with the port once it listens.
 
--- a/shallotbridge/transports/network.py
+++ b/shallotbridge/transports/network.py
@@ -9,8 +9,6 @@
 
 import trio
 
-from .._generated import peer_pb2
-
 StreamHandler = typing.Callable[[trio.abc.Stream], typing.Awaitable[None]]
 
 
@@ -33,38 +31,6 @@
     serve: typing.Callable[..., typing.Awaitable[None]]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class PeerHandlers:
-    """What a node does with the messages of its peers; all async."""
-
-    sync: typing.Callable[
-        [peer_pb2.SyncRequest], typing.Awaitable[peer_pb2.SyncReply]
-    ]
-    report_crash: typing.Callable[
-        [peer_pb2.CrashReport], typing.Awaitable[None]
-    ]
-    lookup_key: typing.Callable[
-        [peer_pb2.KeyQuery], typing.Awaitable[peer_pb2.KeyAnswer]
-    ]
-    hand_over: typing.Callable[[peer_pb2.KeyHandOver], typing.Awaitable[None]]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Peers:
-    """Calls to peers.
-
-    Each is ``await call(address, message, timeout)`` with the timeout in
-    seconds and raises ``errors.PeerUnavailableError``. ``serve(address,
-    port, handlers, task_status)`` answers peers until cancelled.
-    """
-
-    sync: typing.Callable[..., typing.Awaitable[peer_pb2.SyncReply]]
-    report_crash: typing.Callable[..., typing.Awaitable[None]]
-    lookup_key: typing.Callable[..., typing.Awaitable[peer_pb2.KeyAnswer]]
-    hand_over: typing.Callable[..., typing.Awaitable[None]]
-    serve: typing.Callable[..., typing.Awaitable[None]]
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PlatformChange:
     """What a watch reports.
--- /dev/null
+++ b/shallotbridge/transports/peer_calls.py
@@ -0,0 +1,42 @@
+"""Interface between the node's logic and the calls between nodes.
+
+It is a module of its own because its types are protobuf messages, which
+take 4 MB that a node on the users' platform does not need.
+"""
+
+import dataclasses
+import typing
+
+from .._generated import peer_pb2
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PeerHandlers:
+    """What a node does with the messages of its peers; all async."""
+
+    sync: typing.Callable[
+        [peer_pb2.SyncRequest], typing.Awaitable[peer_pb2.SyncReply]
+    ]
+    report_crash: typing.Callable[
+        [peer_pb2.CrashReport], typing.Awaitable[None]
+    ]
+    lookup_key: typing.Callable[
+        [peer_pb2.KeyQuery], typing.Awaitable[peer_pb2.KeyAnswer]
+    ]
+    hand_over: typing.Callable[[peer_pb2.KeyHandOver], typing.Awaitable[None]]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Peers:
+    """Calls to peers.
+
+    Each is ``await call(address, message, timeout)`` with the timeout in
+    seconds and raises ``errors.PeerUnavailableError``. ``serve(address,
+    port, handlers, task_status)`` answers peers until cancelled.
+    """
+
+    sync: typing.Callable[..., typing.Awaitable[peer_pb2.SyncReply]]
+    report_crash: typing.Callable[..., typing.Awaitable[None]]
+    lookup_key: typing.Callable[..., typing.Awaitable[peer_pb2.KeyAnswer]]
+    hand_over: typing.Callable[..., typing.Awaitable[None]]
+    serve: typing.Callable[..., typing.Awaitable[None]]
--- a/tests/core/test_sync.py
+++ b/tests/core/test_sync.py
@@ -12,7 +12,7 @@
 from shallotbridge.core import store as store_module
 from shallotbridge.core import sync
 from shallotbridge.core import topology
-from shallotbridge.transports import network
+from shallotbridge.transports import peer_calls
 from tests import builders
 from tests import memory
 
@@ -112,7 +112,7 @@
             store=self.store,
             hosts=self.hosts,
             topology=self.topology,
-            peers=network.Peers(
+            peers=peer_calls.Peers(
                 sync=self._sync,
                 report_crash=None,
                 lookup_key=None,
--- a/tests/golden/harness.py
+++ b/tests/golden/harness.py
@@ -23,6 +23,7 @@
 from shallotbridge.core import parts
 from shallotbridge.core import tree
 from shallotbridge.transports import network
+from shallotbridge.transports import peer_calls
 from standins import platform as platform_standin
 from standins import upstream as upstream_standin
 from tests.golden import checker
@@ -442,7 +443,7 @@
             return handle
 
         async def serve(address, port, handlers, **fields):
-            wrapped = network.PeerHandlers(
+            wrapped = peer_calls.PeerHandlers(
                 **{
                     name: attributed(getattr(handlers, name))
                     for name in handlers.__dataclass_fields__
--- a/tests/memory.py
+++ b/tests/memory.py
@@ -16,7 +16,7 @@
 from shallotbridge.core import store as store_module
 from shallotbridge.core import sync
 from shallotbridge.core import topology as topology_module
-from shallotbridge.transports import network
+from shallotbridge.transports import peer_calls
 from standins import platform as platform_standin
 from tests import builders
 
@@ -47,7 +47,7 @@
         self._cut.clear()
 
     def peers(self, source):
-        """Return the ``network.Peers`` of the node at an address."""
+        """Return the ``peer_calls.Peers`` of the node at an address."""
 
         def bind(name, reply_type):
             async def call(address, message, timeout):
@@ -71,7 +71,7 @@
                 for scope in tuple(self._scopes_by_address.get(address, ())):
                     scope.cancel()
 
-        return network.Peers(
+        return peer_calls.Peers(
             sync=bind("sync", peer_pb2.SyncReply),
             report_crash=bind("report_crash", None),
             lookup_key=bind("lookup_key", peer_pb2.KeyAnswer),
@@ -177,7 +177,7 @@
 
     async def run(self):
         """Run until cancelled."""
-        handlers = network.PeerHandlers(
+        handlers = peer_calls.PeerHandlers(
             sync=self.server.sync,
             report_crash=_ignore,
             lookup_key=_ignore,
--- a/tests/transports/test_grpc_peer.py
+++ b/tests/transports/test_grpc_peer.py
@@ -9,7 +9,7 @@
 from shallotbridge._generated import peer_pb2
 from shallotbridge.core import errors
 from shallotbridge.transports import grpc_peer
-from shallotbridge.transports import network
+from shallotbridge.transports import peer_calls
 
 ADDRESS = "127.0.0.1"
 TIMEOUT = 20.0
@@ -18,7 +18,7 @@
 @contextlib.asynccontextmanager
 async def serving(sync, **options):
     """Serve a handler; give the client side and the nursery."""
-    handlers = network.PeerHandlers(
+    handlers = peer_calls.PeerHandlers(
         sync=sync, report_crash=None, lookup_key=None, hand_over=None
     )
     async with trio.open_nursery() as nursery:
