Compare a bounded number of upstreams in each choice

Cause: each request walked all registered upstreams twice, which grows with the fleet. Change: the view sorts usable upstreams by service once; a choice compares at most 14.

--- a/shallotbridge/distribution/views.py
+++ b/shallotbridge/distribution/views.py
@@ -1,7 +1,5 @@
 """Makes a checked view of the published items."""
 
-import types
-
 from ..core import decisions
 from ..core import errors
 from ..traffic import model
@@ -69,10 +67,10 @@
         self._drop_superseded(upstreams_by_id)
         again_at = self._keep_lapsed(upstreams_by_id, now, outage_ended_at)
         self._record_changes(upstreams_by_id, domains_out)
-        self.view = model.MeshView(
+        self.view = model.make_view(
             configuration=configuration,
-            upstreams_by_id=types.MappingProxyType(upstreams_by_id),
-            domains_out=frozenset(domains_out),
+            upstreams_by_id=upstreams_by_id,
+            domains_out=domains_out,
         )
         return again_at
 
--- a/shallotbridge/traffic/model.py
+++ b/shallotbridge/traffic/model.py
@@ -124,27 +124,42 @@
     ----------
     domains_out : frozenset of str
         Failure domains that are out of service.
+    usable_by_service : mapping of str to tuple of Upstream
+        The upstreams that may get new work.
     """
 
     configuration: Configuration | None
     upstreams_by_id: typing.Mapping[str, Upstream]
     domains_out: frozenset[str]
+    usable_by_service: typing.Mapping[str, tuple]
 
     def usable_upstreams(self, service):
         """Return the upstreams of a service that may get new work."""
-        return [
-            upstream
-            for upstream in self.upstreams_by_id.values()
-            if upstream.service == service
-            and not upstream.is_draining
-            and upstream.failure_domain not in self.domains_out
-        ]
-
-
-EMPTY_VIEW = MeshView(
-    configuration=None,
-    upstreams_by_id=types.MappingProxyType({}),
-    domains_out=frozenset(),
+        return self.usable_by_service.get(service, ())
+
+
+def make_view(*, configuration, upstreams_by_id, domains_out):
+    """Return a view with its upstreams sorted by service."""
+    usable_by_service = {}
+    for upstream in upstreams_by_id.values():
+        if (
+            not upstream.is_draining
+            and upstream.failure_domain not in domains_out
+        ):
+            usable_by_service.setdefault(upstream.service, []).append(upstream)
+    return MeshView(
+        configuration=configuration,
+        upstreams_by_id=types.MappingProxyType(upstreams_by_id),
+        domains_out=frozenset(domains_out),
+        usable_by_service={
+            service: tuple(upstreams)
+            for service, upstreams in usable_by_service.items()
+        },
+    )
+
+
+EMPTY_VIEW = make_view(
+    configuration=None, upstreams_by_id={}, domains_out=frozenset()
 )
 
 
--- a/shallotbridge/traffic/selection.py
+++ b/shallotbridge/traffic/selection.py
@@ -31,6 +31,11 @@
 # An upstream whose owner node says that another instance runs there is left
 # out for this time, s; entries are corrected within some seconds.
 OTHER_INSTANCE_SECONDS = 1.0
+# Upstreams that one choice compares: all of a small service, and of a large
+# one a random part, mostly of the own failure domain. The time of a choice
+# then does not grow with the fleet.
+COMPARED_OWN_DOMAIN = 8
+COMPARED_OTHER_DOMAINS = 6
 # Random part of the expected time, s: keeps the nodes from choosing the same
 # upstream in the same moment.
 SPREAD_SECONDS = 0.008
@@ -113,7 +118,7 @@
 
         Parameters
         ----------
-        upstreams : list of model.Upstream
+        upstreams : sequence of model.Upstream
             Those that may get new work.
         route : model.Route
         excluded : set of str
@@ -136,7 +141,7 @@
         best_wait = 0.0
         candidates = 0
         run_seconds = self.expected_seconds(route)
-        for upstream in upstreams:
+        for upstream in self._sample(upstreams):
             upstream_id = upstream.upstream_id
             if upstream_id in excluded:
                 continue
@@ -173,6 +178,22 @@
             load_age=None if state.load is None else now - state.load_at,
         )
 
+    def _sample(self, upstreams):
+        """Return the upstreams that one choice compares."""
+        if len(upstreams) <= COMPARED_OWN_DOMAIN + COMPARED_OTHER_DOMAINS:
+            return upstreams
+        own = []
+        others = []
+        for upstream in upstreams:
+            is_own = upstream.failure_domain == self._own_domain
+            (own if is_own else others).append(upstream)
+        random = self._random
+        if len(own) > COMPARED_OWN_DOMAIN:
+            own = random.sample(own, COMPARED_OWN_DOMAIN)
+        if len(others) > COMPARED_OTHER_DOMAINS:
+            others = random.sample(others, COMPARED_OTHER_DOMAINS)
+        return own + others
+
     def _expected_wait(self, state, upstream, run_seconds, now):
         load = state.load
         slots = max(1, upstream.slots)
--- a/tests/traffic/builders.py
+++ b/tests/traffic/builders.py
@@ -1,7 +1,5 @@
 """Small builders for the tests of traffic."""
 
-import types
-
 from shallotbridge.traffic import model
 
 NAMES = model.HeaderNames(
@@ -75,10 +73,8 @@
 
 def view(in_force, *upstreams, domains_out=()):
     """Return a view of upstreams under a configuration."""
-    return model.MeshView(
+    return model.make_view(
         configuration=in_force,
-        upstreams_by_id=types.MappingProxyType(
-            {one.upstream_id: one for one in upstreams}
-        ),
+        upstreams_by_id={one.upstream_id: one for one in upstreams},
         domains_out=frozenset(domains_out),
     )
--- a/tests/traffic/test_selection.py
+++ b/tests/traffic/test_selection.py
@@ -112,3 +112,19 @@
     selector.on_load("10.0.0.1", _load(0, wait_ms=500.0), 0.0)
     with pytest.raises(errors.NoUpstreamError):
         _choose(selector, [only], now=0.1, maximum_wait=0.1)
+
+
+def test_a_large_service_is_compared_in_part_and_used_whole():
+    """Guards against choices that take longer as the fleet grows.
+
+    Pattern: 64 upstreams in two domains, all with free slots.
+    """
+    many = [
+        builders.upstream(number, failure_domain="ab"[number % 2])
+        for number in range(64)
+    ]
+    selector = _selector(*many)
+    choice = selector.choose(many, builders.route(), set(), 0.0)
+    assert choice.candidates <= 14
+    chosen = {_choose(selector, many) for _ in range(2000)}
+    assert chosen == {f"u{number}" for number in range(0, 64, 2)}
