Withdraw a slow request only when another upstream can take it now

Change: slow requests are looked for every 50 ms; one is withdrawn only if the budget has room, another owner node can take it now, and the node is not leaving.

--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -307,6 +307,7 @@
                     )
                 await nursery.start(self._serve_clients)
                 await nursery.start(self._owner.run_tasks)
+                nursery.start_soon(self._entry.run_tasks)
                 nursery.start_soon(self._follower.run)
                 nursery.start_soon(self._reconnect)
                 decisions.record(
--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -1,5 +1,6 @@
 """The entry node: from a client's request to its whole answer."""
 
+import dataclasses
 import functools
 import math
 
@@ -38,6 +39,8 @@
 # A service that fails this share of its requests gets no repeats: they would
 # fail too, and load what it calls.
 WIDE_FAILURE_SHARE = 0.2
+# Slow requests are looked for this often, s.
+WITHDRAWAL_CHECK_SECONDS = 0.05
 # Lines of the log for requests that ran at the first offer, a second.
 ROUTINE_LINES = 20
 _RETRY_AFTER = "retry-after"
@@ -95,6 +98,7 @@
         self._count = count
         self._record = record
         self._is_leaving = False
+        self._sendings_by_scope = {}
         self._routine = decisions.RoutineLog(rate=ROUTINE_LINES)
         self._own_names = frozenset(
             {
@@ -190,13 +194,7 @@
         failed_answer = None
         for _ in range(MAXIMUM_OFFERS):
             try:
-                # A node that stops answers all that it took.
-                may_give_up = (
-                    route.is_idempotent
-                    and not self._is_leaving
-                    and self._may_repeat(call, budget.has_room, arrivals + 1)
-                )
-                reply = await self._offer(call, tried, may_give_up)
+                reply = await self._offer(call, tried, arrivals)
             except errors.CallError as error:
                 if error.outcome is errors.Outcome.UNKNOWN:
                     unknown_error = error
@@ -245,15 +243,49 @@
             and ask_budget(now, len(self._read_view().upstreams_by_id))
         )
 
-    def _give_up_at(self, call, now):
-        """Return when a repeatable request may be sent elsewhere."""
+    def _slow_at(self, call, now):
+        """Return when a repeatable request is much slower than usual."""
         usual = self._selector.expected_seconds(call.route)
         return max(
             now + usual * GIVE_UP_SHARE,
             call.started_at + call.route.objective_seconds,
         )
 
-    async def _offer(self, call, tried, may_give_up):
+    async def run_tasks(self):
+        """Withdraw slow repeatable requests until cancelled.
+
+        One is withdrawn only if another upstream can take it now. A node
+        that is leaving waits for each answer.
+        """
+        while not self._is_leaving:
+            await trio.sleep(WITHDRAWAL_CHECK_SECONDS)
+            now = trio.current_time()
+            for scope, sending in list(self._sendings_by_scope.items()):
+                if now >= sending.slow_at and self._can_go_elsewhere(
+                    sending, now
+                ):
+                    scope.cancel()
+
+    def _can_go_elsewhere(self, sending, now):
+        call = sending.call
+        budget = self._budget_of(call.service)
+        if self._is_leaving or not self._may_repeat(
+            call, budget.has_room, sending.arrivals
+        ):
+            return False
+        try:
+            self._selector.choose(
+                self._read_view().usable_upstreams(call.service),
+                call.route,
+                sending.tried,
+                now,
+                SHORT_WAIT_SECONDS,
+            )
+        except errors.NoUpstreamError:
+            return False
+        return True
+
+    async def _offer(self, call, tried, arrivals):
         """Send a request to the best owner node and return its answer."""
         now = trio.current_time()
         if now >= call.deadline_at:
@@ -274,7 +306,7 @@
         selector = self._selector
         selector.on_sent(upstream.upstream_id)
         try:
-            reply = await self._exchange(call, upstream, now, may_give_up)
+            reply = await self._exchange(call, upstream, now, tried, arrivals)
         except errors.CallError as error:
             self._learn_failure(upstream, error)
             raise
@@ -331,7 +363,7 @@
                 f"{'with' if has_signature else 'without'} a signature"
             )
 
-    async def _exchange(self, call, upstream, now, may_give_up):
+    async def _exchange(self, call, upstream, now, tried, arrivals):
         own = self._own_host
         is_local = (
             upstream.address == own.upstream_address
@@ -357,12 +389,20 @@
             sent_at=now,
         )
         end_at = call.deadline_at + REPLY_MARGIN_SECONDS
-        if may_give_up:
-            end_at = min(end_at, self._give_up_at(call, now))
-        with trio.move_on_at(end_at):
-            if is_local:
-                return await self._run_local(work)
-            return await peer.exchange(work)
+        with trio.CancelScope(deadline=end_at) as scope:
+            if call.route.is_idempotent:
+                self._sendings_by_scope[scope] = _Sending(
+                    call=call,
+                    tried=tried,
+                    arrivals=arrivals + 1,
+                    slow_at=self._slow_at(call, now),
+                )
+            try:
+                if is_local:
+                    return await self._run_local(work)
+                return await peer.exchange(work)
+            finally:
+                self._sendings_by_scope.pop(scope, None)
         if trio.current_time() < call.deadline_at:
             raise errors.OutcomeUnknownError(
                 f"withdrawn from {upstream.upstream_id}, which did not "
@@ -488,6 +528,22 @@
 }
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Sending:
+    """A repeatable request that an upstream has.
+
+    Attributes
+    ----------
+    slow_at : float
+        Time from which it may be withdrawn.
+    """
+
+    call: object
+    tried: set
+    arrivals: int
+    slow_at: float
+
+
 class _Call:
     """One request of a client and what was tried for it."""
 
