--- a/shallotbridge/traffic/admission.py
+++ b/shallotbridge/traffic/admission.py
@@ -216,17 +216,10 @@
         return first + ahead / max(1.0, self._cold_start.rate)
 
     def dispatch(self, now):
-        """Grant slots to waiting requests; refuse those that are too late.
-
-        Returns
-        -------
-        float or None
-            Seconds until a cold start allows the next one.
-        """
+        """Grant slots to waiting requests; refuse those that are too late."""
         while self._waiting and len(self._running) < self.slots:
-            pause = self._cold_start.seconds_until_allowed(now)
-            if pause > 0:
-                return pause
+            if self._cold_start.seconds_until_allowed(now) > 0:
+                return
             ticket = self._waiting.pop(0)
             expected = ticket.expected_seconds
             try:
@@ -240,7 +233,6 @@
                 bisect.insort(self._waiting, ticket, key=Ticket.rank)
                 continue
             self._grant(ticket, now)
-        return None
 
     def _grant(self, ticket, now):
         ticket.granted_at = now
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -199,11 +199,10 @@
     def load(self):
         """Return the ``link.Load`` of this node."""
         now = trio.current_time()
-        taken = self._admission.in_use + self._admission.queued
         wait = self._admission.expected_wait(now)
         return link.Load(
             slots=self._admission.slots,
-            free=self._admission.slots - taken,
+            free=self._admission.slots - self.in_progress,
             wait_ms=round(wait * 1000, 1),
             is_open=self._admission.is_open,
             position=self._read_position(),
