Give a slot back when a request is cancelled between grant and sending

Change: the cancellation is caught in both branches of the wait. Measured: tests/traffic/test_owner.py failed before and passes now.

--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -318,15 +318,15 @@
         return ticket, granted
 
     async def _wait_granted(self, ticket, granted):
-        if granted.is_decided:
-            await trio.lowlevel.checkpoint_if_cancelled()
-        else:
-            granted.event = trio.Event()
-            try:
+        try:
+            if granted.is_decided:
+                await trio.lowlevel.checkpoint_if_cancelled()
+            else:
+                granted.event = trio.Event()
                 await granted.event.wait()
-            except trio.Cancelled:
-                self._admission.withdraw(ticket, trio.current_time())
-                raise
+        except trio.Cancelled:
+            self._admission.withdraw(ticket, trio.current_time())
+            raise
         if granted.error is not None:
             raise granted.error
 
--- /dev/null
+++ b/tests/traffic/test_owner.py
@@ -0,0 +1,154 @@
+"""The owner node with an upstream on loopback that the test plays."""
+
+import contextlib
+
+import trio
+
+from shallotbridge._generated import link
+from shallotbridge.core import model as messages
+from shallotbridge.traffic import model
+from shallotbridge.traffic import owner
+from shallotbridge.transports import tcp
+from standins import store as store_standin
+
+from tests.traffic import builders
+
+ADDRESS = "127.0.19.1"
+PORT = 18145
+OWN_HOST = model.OwnHost(
+    name="node-1",
+    address=ADDRESS,
+    failure_domain="a",
+    service="shop",
+    upstream_address=ADDRESS,
+    upstream_port=PORT,
+)
+
+
+class _Upstream:
+    """An upstream that answers requests when the test lets it.
+
+    Attributes
+    ----------
+    requests : list of messages.Request
+        Those that reached it, without health checks.
+    """
+
+    def __init__(self):
+        self.requests = []
+        self.may_answer = trio.Event()
+        self.may_answer.set()
+
+    async def answer(self, request):
+        if request.target == "/health":
+            return messages.Response(
+                status=200,
+                headers=(messages.Header(name="x-own-instance", value="u1"),),
+            )
+        self.requests.append(request)
+        await self.may_answer.wait()
+        return messages.Response(
+            status=200,
+            headers=(
+                messages.Header(name="x-signature", value="s"),
+                messages.Header(
+                    name="x-id", value=request.header("x-id") or ""
+                ),
+            ),
+            body=b"done",
+        )
+
+
+@contextlib.asynccontextmanager
+async def _owner(slots=1):
+    """Start an owner node whose upstream is up."""
+    upstream = _Upstream()
+    view = builders.view(
+        builders.configuration(builders.route()),
+        builders.upstream(1, address=ADDRESS, port=PORT, slots=slots),
+    )
+    async with trio.open_nursery() as nursery:
+        await nursery.start(
+            tcp.serve,
+            ADDRESS,
+            PORT,
+            store_standin.make_handler(upstream.answer),
+        )
+        server = owner.OwnerServer(
+            own_host=OWN_HOST,
+            names=builders.NAMES,
+            read_view=lambda: view,
+            read_position=lambda: 1,
+            open_stream=tcp.open_stream,
+            record=lambda action, **fields: None,
+        )
+        await nursery.start(server.run_tasks)
+        server.on_view(view)
+        with trio.fail_after(5):
+            while not server.load().is_open:
+                await trio.sleep(0.01)
+            yield server, upstream
+        server.close()
+        nursery.cancel_scope.cancel()
+
+
+def work(request_id, **changes):
+    """Return a request as an entry node sends it."""
+    fields = {
+        "call_id": 1,
+        "upstream_id": "u1",
+        "service": "shop",
+        "route": "browse",
+        "request_id": request_id,
+        "method": "GET",
+        "target": "/shop/1",
+        "headers": (("host", "shop.example"), ("x-id", request_id)),
+        "body": b"",
+        "remaining_ms": 1000.0,
+        "objective_ms": 300.0,
+        "priority": 1,
+        "is_idempotent": True,
+        "expected_ms": 10.0,
+        "sent_at": 0.0,
+    }
+    return link.Work(**(fields | changes))
+
+
+async def test_a_request_cancelled_before_it_is_sent_gives_its_slot_back():
+    """Guards against slots that no request uses any more.
+
+    The caller leaves between the grant of the slot and the sending.
+    """
+    async with _owner(slots=1) as (server, upstream):
+        with trio.CancelScope() as scope:
+            scope.cancel()
+            await server.run(work("left"))
+        assert server.in_progress == 0
+        reply = await server.run(work("next"))
+        assert reply.status == 200
+        assert [one.header("x-id") for one in upstream.requests] == ["next"]
+
+
+async def test_a_request_cancelled_while_it_waits_leaves_the_queue():
+    """Guards against slots granted to callers that have left."""
+    async with _owner(slots=1) as (server, upstream):
+        upstream.may_answer = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.run, work("first"))
+            while not upstream.requests:
+                await trio.sleep(0.005)
+            scope = trio.CancelScope()
+
+            async def wait_and_leave():
+                with scope:
+                    await server.run(work("left"))
+
+            nursery.start_soon(wait_and_leave)
+            while server.in_progress < 2:
+                await trio.sleep(0.005)
+            scope.cancel()
+            while server.in_progress > 1:
+                await trio.sleep(0.005)
+            upstream.may_answer.set()
+        assert server.in_progress == 0
+        assert [one.header("x-id") for one in upstream.requests] == ["first"]
