Read the platform with one node a domain, and start from a cheap read

Change: the first read may be old and costs a tenth; the node serves clients only after a watch or a pull has brought it up to date. One reader a domain; a reader that does not answer is passed over for 2 s and the next node of the domain takes its place. Changes gather for 0.5 s, 0.3 s before.

--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -12,13 +12,20 @@
 from ..core import decisions
 from ..core import errors
 
-# Nodes of a failure domain that watch the platform; the others ask them.
-READERS_PER_DOMAIN = 2
+# Nodes of a failure domain that watch the platform; the others ask them. What
+# one reader misses, the readers of the other domains bring by the pings.
+READERS_PER_DOMAIN = 1
 # Time that a watch waits at the platform for news, s. A lost answer is
 # noticed after it, and each watch costs a call.
 WATCH_SECONDS = 4.0
-# After news, time in which further changes are gathered into one call, s.
-GATHER_SECONDS = 0.3
+# After news, time in which further changes are gathered into one call, s. A
+# change has to be in force after 2 s.
+GATHER_SECONDS = 0.5
+# Time between reads while nothing is published yet, s.
+EMPTY_SECONDS = 0.5
+# A reader that does not answer is passed over for this long, s, and the next
+# node of the domain reads in its place.
+PASS_OVER_SECONDS = 2.0
 # Time between attempts while the platform is unavailable, s.
 RETRY_SECONDS = 0.3
 MAXIMUM_RETRY_SECONDS = 0.7
@@ -30,6 +37,7 @@
 # to another reader, which covers one that lost the platform unnoticed.
 PULL_WAIT_SECONDS = 1.0
 PULL_TIMEOUT_SECONDS = 1.5
+_PULL_ERRORS = (errors.CallError, errors.PeerUnavailableError)
 
 
 class Follower:
@@ -39,7 +47,7 @@
     ----------
     mirror : mirror.ItemMirror
     read_all : callable
-        ``await read_all()`` returns items and their revision.
+        ``await read_all(may_be_stale)`` returns items and their revision.
     watch : callable
         ``await watch(position, seconds)`` returns changes and their
         revision; raises ``HistoryLostError``.
@@ -58,6 +66,9 @@
 
     Attributes
     ----------
+    is_current : bool
+        Whether the mirror was up to date once since the start: a first read
+        may be some seconds old.
     unavailable_at : float
         When the platform was last found unavailable, on trio's clock.
     """
@@ -90,7 +101,9 @@
         self._changed = trio.Event()
         self._ahead = None
         self._ahead_event = trio.Event()
-        self._pull_count = 0
+        self._passed_over_until = {}
+        self.is_current = False
+        self._became_current = trio.Event()
         self.unavailable_at = -math.inf
         self.call_count = 0
 
@@ -105,8 +118,8 @@
         failures = 0
         while True:
             try:
-                if self._mirror.position == 0:
-                    await self._read_whole()
+                if not self._mirror.items_by_key:
+                    await self._read_first(failures)
                 elif self.is_reader():
                     await self._watch_once()
                 else:
@@ -126,7 +139,16 @@
 
     def is_reader(self):
         """Tell whether this node watches the platform itself."""
-        return self._own_address in self._ranked_domain()[:READERS_PER_DOMAIN]
+        return self._own_address in self._readers()
+
+    def _readers(self):
+        now = trio.current_time()
+        ranked = [
+            address
+            for address in self._ranked_domain()
+            if self._passed_over_until.get(address, now) <= now
+        ]
+        return ranked[:READERS_PER_DOMAIN]
 
     def _ranked_domain(self):
         addresses = [
@@ -136,13 +158,31 @@
         ]
         return sorted({*addresses, self._own_address}, key=_rank)
 
-    async def _read_whole(self):
+    async def _read_first(self, failures):
+        """Learn who the other nodes are.
+
+        A read that may be some seconds old costs a tenth of another. The
+        mirror counts as current only after a watch or a pull.
+        """
+        await self._read_whole(may_be_stale=not failures)
+        if not self._mirror.items_by_key:
+            await trio.sleep(EMPTY_SECONDS)
+
+    async def _read_whole(self, may_be_stale=False):
         self.call_count += 1
-        items, position = await self._read_all()
+        items, position = await self._read_all(may_be_stale)
         self._note_available()
         self._mirror.replace(items, position)
+        if items and not may_be_stale:
+            self._set_current()
         self._notify()
 
+    def _set_current(self):
+        if not self.is_current:
+            self.is_current = True
+            self._became_current.set()
+            self._record("view_current", position=self._mirror.position)
+
     async def _read_whole_again(self):
         self._record("history_lost", position=self._mirror.position)
         try:
@@ -154,31 +194,32 @@
     async def _watch_once(self):
         self.call_count += 1
         items, position = await self._watch(
-            self._mirror.position, WATCH_SECONDS
+            self._mirror.position, WATCH_SECONDS if self.is_current else 0.0
         )
         self._note_available()
+        self._set_current()
         if items:
             self._mirror.apply(items, position)
             self._notify()
             await trio.sleep(GATHER_SECONDS)
 
     async def _pull_from_reader(self):
-        readers = self._ranked_domain()[:READERS_PER_DOMAIN]
-        self._pull_count += 1
-        first = self._pull_count % len(readers)
-        for address in readers[first:] + readers[:first]:
+        wait = PULL_WAIT_SECONDS if self.is_current else 0.0
+        for address in self._readers():
             try:
-                await self.pull(address, PULL_WAIT_SECONDS)
-            except errors.CallError as error:
+                await self.pull(address, wait)
+            except _PULL_ERRORS as error:
+                now = trio.current_time()
+                self._passed_over_until[address] = now + PASS_OVER_SECONDS
                 self._record(
                     "pull_failed",
                     peer=address,
                     code=error.code,
                     detail=error.detail,
+                    readers=self._readers(),
                 )
             else:
                 return
-        await self._watch_once()
 
     async def pull(self, address, wait_seconds):
         """Ask a node for what is newer than the own revision.
@@ -187,6 +228,8 @@
         ------
         errors.CallError
             The node could not be reached or did not answer.
+        errors.PeerUnavailableError
+            The node is not up to date itself.
         """
         peer = self._links(address)
         position = self._mirror.position
@@ -205,6 +248,11 @@
         )
 
     def _take(self, reply, address):
+        if reply.position == 0:
+            raise errors.PeerUnavailableError(
+                f"the node at {address} is not up to date itself"
+            )
+        self._set_current()
         if reply.position <= self._mirror.position:
             return
         self._record(
@@ -224,6 +272,10 @@
 
     async def answer_pull(self, pull):
         """Return the ``link.Items`` that answer another node's pull."""
+        if not await self._wait_current():
+            return link.Items(
+                call_id=pull.call_id, position=0, is_whole=False, items=()
+            )
         with trio.move_on_after(pull.wait_ms / 1000):
             while self._mirror.position <= pull.position:
                 await self._changed.wait()
@@ -238,6 +290,11 @@
             items=tuple(_compressed(item) for item in items),
         )
 
+    async def _wait_current(self):
+        with trio.move_on_after(PULL_WAIT_SECONDS):
+            await self._became_current.wait()
+        return self.is_current
+
     def on_position(self, address, position):
         """Note the revision of another node."""
         if position > self._mirror.position and (
@@ -258,7 +315,7 @@
                 continue
             try:
                 await self.pull(address, 0.0)
-            except errors.CallError as error:
+            except _PULL_ERRORS as error:
                 self._record(
                     "pull_failed",
                     peer=address,
--- a/shallotbridge/peers/links.py
+++ b/shallotbridge/peers/links.py
@@ -23,7 +23,7 @@
 # most some ms apart; a lost opening packet is sent again only after 1 s.
 CONNECT_SECONDS = 0.15
 # A connection that nothing used for this long is closed, s.
-IDLE_SECONDS = 30.0
+IDLE_SECONDS = 10.0
 
 
 class _PendingCall:
--- a/shallotbridge/platform/store.py
+++ b/shallotbridge/platform/store.py
@@ -58,11 +58,16 @@
             names=names.HEADER_NAMES,
         )
 
-    async def read_all(self):
+    async def read_all(self, may_be_stale=False):
         """Return all items and the revision from which to watch.
 
         Pages are not a snapshot, so the watch starts at the first page.
 
+        Parameters
+        ----------
+        may_be_stale : bool
+            The items may be some seconds old; such a read costs a tenth.
+
         Raises
         ------
         errors.PlatformUnavailableError
@@ -70,10 +75,11 @@
         items = []
         position = None
         after = ""
+        stale_ok = "1" if may_be_stale else ""
         while True:
             page = await self._get(
                 "/v1/kv-range",
-                {"after": after},
+                {"after": after, "stale_ok": stale_ok},
                 _Range,
                 ANSWER_SECONDS,
             )
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -133,7 +133,7 @@
         self._entry = entry.EntryServer(
             own_host=own_host,
             names=names,
-            read_view=self.read_view,
+            read_view=self._read_client_view,
             selector=self._selector,
             splits=self._splits,
             run_local=self._owner.run,
@@ -161,6 +161,12 @@
         """Return the ``model.MeshView`` in force."""
         return self._views.view
 
+    def _read_client_view(self):
+        """Return the view for clients: none before it was up to date."""
+        if self._follower.is_current:
+            return self._views.view
+        return model.EMPTY_VIEW
+
     def _read_position(self):
         return self._mirror.position
 
@@ -339,9 +345,8 @@
     @property
     def is_ready(self):
         """Whether clients may send requests here."""
-        return (
-            self._views.view.configuration is not None and not self._is_leaving
-        )
+        view = self._read_client_view()
+        return view.configuration is not None and not self._is_leaving
 
     async def drain(self):
         """Stop taking work and wait until all work in progress has ended."""
