--- a/shallotbridge/platform/program.py
+++ b/shallotbridge/platform/program.py
@@ -41,7 +41,8 @@
         for problem in error.problems:
             print(f"  {problem}", file=sys.stderr)
         return EXIT_SETTINGS
-    ring = logs.DecisionRing()
+    # No endpoint shows the last lines here.
+    ring = logs.DecisionRing(lines=0)
     _, stop_logging = logs.start_logging(
         log_file=logs.STANDARD_OUTPUT, ring=ring, host_id=terms.own_host.name
     )
