Give a whole copy to peers that are behind the first copy of a node

A node that had restarted knew no deletions from before its first copy, but answered a peer that was behind that copy with changes only; the peer passed the gap on, and ten nodes of cairo-c kept an upstream that had left, its own node among them. Seen in the log: pulls from 305 to 308 brought 3 items from nodes of cairo-d and 2 in cairo-c. Change: a mirror knows its changes only from its last whole copy on. Measured: the new test of the mirror failed before.

--- a/shallotbridge/distribution/mirror.py
+++ b/shallotbridge/distribution/mirror.py
@@ -42,6 +42,8 @@
         for item in items:
             self._put(item)
         self.position = position
+        # What was deleted before is not in a whole copy.
+        self._oldest = max(self._oldest, position)
         return True
 
     def apply(self, items, position):
--- a/tests/distribution/test_mirror.py
+++ b/tests/distribution/test_mirror.py
@@ -52,3 +52,21 @@
     items = mirror.ItemMirror()
     items.replace([_item("a", 1)], 1)
     assert items.changes_since(0) == (True, [_item("a", 1)])
+
+
+def test_a_node_that_started_later_gives_a_whole_copy_to_one_behind():
+    """Guards against deletions that a peer never hears of.
+
+    Pattern: a node restarts after an upstream was removed, and a peer that
+    has not heard of the removal asks it for changes (nw-remnant-grown
+    trouble-3: four requests to an upstream that had left).
+    """
+    behind = mirror.ItemMirror()
+    behind.replace([_item("kept", 1), _item("gone", 2)], 2)
+    restarted = mirror.ItemMirror()
+    restarted.replace([_item("kept", 1)], 5)
+    restarted.apply([_item("new", 6)], 6)
+    is_whole, items = restarted.changes_since(behind.position)
+    assert is_whole
+    behind.replace(items, restarted.position)
+    assert set(behind.items_by_key) == {"kept", "new"}
