Add a fault soak with real processes

Change: soak/ starts nodes as processes on loopback, with upstreams and store as stand-ins and a proxy before each node and each way to the store. Delays, silence, one-way cuts, resets, kills, pauses, stops, signals and changes come from a seed and overlap; checks read only what callers and upstreams saw. A node calls itself by the address that its upstream has, as its peers do; on the users' platform they are the same.

--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -113,7 +113,7 @@
             read_all=read_all,
             watch=watch,
             on_change=self._update_view,
-            own_address=own_host.address,
+            own_address=own_host.upstream_address,
             own_domain=own_host.failure_domain,
             peers_of=self._peers,
             links=self._link,
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of real nodes on loopback; faults come from outside."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,47 @@
+"""Command line of the soak: ``python -m soak --seed 1 --count 50``."""
+
+import collections
+import pathlib
+import sys
+
+import typer
+
+from . import run as runs
+
+
+def main(
+    seed: int = typer.Option(1, help="first seed"),
+    count: int = typer.Option(1, help="seeds to run, one after the other"),
+    seconds: float = typer.Option(20.0, help="length of a run, s"),
+    hosts: int = typer.Option(6, help="hosts, each with a node's process"),
+    domains: int = typer.Option(3, help="failure domains"),
+    keep: str = typer.Option("", help="directory for logs of failed seeds"),
+):
+    """Run seeds and print the promises that were broken."""
+    failed = []
+    for number in range(seed, seed + count):
+        found, violations, outputs = runs.run_seed(
+            number, seconds=seconds, hosts=hosts, domains=domains
+        )
+        statuses = collections.Counter(call.status for call in found.calls)
+        print(
+            f"seed {number}: {len(found.calls)} requests, statuses "
+            f"{dict(statuses)}, {len(found.disturbances)} faults, "
+            f"{len(violations)} promises broken",
+            flush=True,
+        )
+        for violation in violations[:20]:
+            print(f"  {violation}", flush=True)
+        if violations:
+            failed.append(number)
+            if keep:
+                directory = pathlib.Path(keep) / f"seed-{number}"
+                directory.mkdir(parents=True, exist_ok=True)
+                for name, text in outputs.items():
+                    (directory / name).write_text(text)
+    print(f"{count} seeds, {len(failed)} with a promise broken: {failed}")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,288 @@
+"""Hosts on loopback: nodes as processes, upstreams and store as tasks."""
+
+import functools
+import random
+import signal
+
+import trio
+
+from bench import processes
+from shallotbridge.core import model
+from shallotbridge.transports import tcp
+from standins import store as store_standin
+
+from . import proxy
+
+CALLER_PORT = 7400
+READY_PORT = 7403
+PEER_PORT = 7380
+UPSTREAM_PORT = 8080
+STORE_PORT = 7500
+HOST_NAME = "shop.example"
+SERVICE = "shop"
+SLOTS = 6
+RESTART_SECONDS = 0.3
+# An upstream that drains is replaced this long after it said so, s.
+REPLACE_SECONDS = 2.5
+_EXIT_POLL_SECONDS = 0.05
+
+_SETTINGS = """
+[self]
+node_name = "host-{number}"
+ip_address = "{own}"
+zone = "{domain}"
+application_address = "{public}:{upstream_port}"
+service = "{service}"
+[network]
+internal_port_range = [{peer_port}, {peer_port}]
+[network.listen_addresses]
+outbound = "{own}:{caller_port}"
+ready = "{own}:{ready_port}"
+[platform.platform]
+address = "{store}:{store_port}"
+[terms.bounds]
+grace_period = "6s"
+retry_budget_ratio = 0.2
+budget_window = "10s"
+retry_budget_slack = 56
+"""
+
+
+class Host:
+    """One host: a node's process, its upstream and the proxies before it.
+
+    Attributes
+    ----------
+    incarnation : int
+        Counts the starts of the node's process.
+    """
+
+    def __init__(self, *, number, prefix, domain):
+        self.number = number
+        self.domain = domain
+        self.own = f"{prefix}.1.{number + 1}"
+        # Peers know the host by this address; a proxy listens there.
+        self.public = f"{prefix}.2.{number + 1}"
+        self.store_address = f"{prefix}.3.{number + 1}"
+        self.name = f"host-{number}"
+        self.incarnation = 0
+        self.upstream_number = 0
+        self.link_proxy = proxy.Proxy(address=self.own, port=PEER_PORT)
+        self.store_proxy = proxy.Proxy(
+            address=f"{prefix}.0.1", port=STORE_PORT
+        )
+
+    @property
+    def upstream_id(self):
+        """Id of the upstream's present incarnation."""
+        return f"u{self.number}-{self.upstream_number}"
+
+
+class World:
+    """All hosts and the store.
+
+    Parameters
+    ----------
+    running : processes.Processes
+    records : records.Records
+    clock : callable
+        Seconds since the start of the run.
+    """
+
+    def __init__(self, *, running, records, clock, hosts, domains, seed):
+        prefix = processes.free_network()
+        self.hosts = [
+            Host(
+                number=number, prefix=prefix, domain=f"d{number % domains + 1}"
+            )
+            for number in range(hosts)
+        ]
+        self.store = store_standin.StoreState()
+        self.records = records
+        self.clock = clock
+        self.version = 0
+        self._store_address = f"{prefix}.0.1"
+        self._running = running
+        self._random = random.Random(seed)
+        self._nursery = None
+
+    async def start(self, nursery):
+        """Start the store, the upstreams, the proxies and the nodes."""
+        self._nursery = nursery
+        await nursery.start(
+            tcp.serve,
+            self._store_address,
+            STORE_PORT,
+            store_standin.make_handler(self.store.answer),
+        )
+        self.publish()
+        for host in self.hosts:
+            await self._start_host(host)
+
+    async def _start_host(self, host):
+        answer = functools.partial(self._answer, host)
+        for address, port, handler in (
+            (host.public, UPSTREAM_PORT, store_standin.make_handler(answer)),
+            (host.public, PEER_PORT, host.link_proxy.handle),
+            (host.store_address, STORE_PORT, host.store_proxy.handle),
+        ):
+            await self._nursery.start(tcp.serve, address, port, handler)
+        self.register(host)
+        settings = self._running.directory / f"{host.name}.toml"
+        settings.write_text(
+            _SETTINGS.format(
+                number=host.number,
+                own=host.own,
+                public=host.public,
+                domain=host.domain,
+                store=host.store_address,
+                service=SERVICE,
+                upstream_port=UPSTREAM_PORT,
+                peer_port=PEER_PORT,
+                caller_port=CALLER_PORT,
+                ready_port=READY_PORT,
+                store_port=STORE_PORT,
+            )
+        )
+        self._nursery.start_soon(self._supervise, host, str(settings))
+
+    async def _supervise(self, host, settings):
+        """Start the node's process again whenever it has ended."""
+        while True:
+            host.incarnation += 1
+            self._running.start(
+                host.name,
+                ["shallotbridge.platform"],
+                environment={"SHALLOTBRIDGE_SETTINGS": settings},
+            )
+            while self._running.is_running(host.name):
+                await trio.sleep(_EXIT_POLL_SECONDS)
+            await trio.sleep(RESTART_SECONDS)
+
+    def send_signal(self, host, number):
+        """Send a signal to the node's process, if it runs."""
+        if self._running.is_running(host.name):
+            self._running.send_signal(host.name, number)
+
+    def resume(self, host):
+        """Let a paused process go on."""
+        self.send_signal(host, signal.SIGCONT)
+
+    # What the platform publishes.
+
+    def publish(self):
+        """Publish the next configuration; each version adds a route."""
+        self.version += self._random.randint(1, 3)
+        published = self.records.published_at_by_version
+        published[self.version] = self.clock()
+        rules = [_rule("browse", "idempotent"), _rule("hold", "unsafe")]
+        rules.extend(
+            _rule(f"v{version}", "idempotent") for version in published
+        )
+        self.store.put(
+            "op/config",
+            {
+                "version": self.version,
+                "limits": {
+                    "max_header_bytes": 16384,
+                    "max_body_bytes": 65536,
+                    "header_timeout": "3000ms",
+                    "idle_timeout": "15s",
+                },
+                "listeners": [{"host": HOST_NAME, "rules": rules}],
+                "clusters": [
+                    {
+                        "name": SERVICE,
+                        "health_check_path": "/health",
+                        "max_connections": 110,
+                        "cold_start": "0s",
+                        "cold_per_s": 100.0,
+                    }
+                ],
+            },
+        )
+
+    def register(self, host, state="ready"):
+        """Publish the entry of a host's upstream."""
+        self.records.domain_by_upstream[host.upstream_id] = host.domain
+        self.store.put(
+            f"servers/{host.upstream_id}",
+            {
+                "address": f"{host.public}:{UPSTREAM_PORT}",
+                "information": {
+                    "service": SERVICE,
+                    "version": "v1",
+                    "zone": host.domain,
+                    "slots": SLOTS,
+                },
+                "status": {
+                    "state": state,
+                    "sequence": 1,
+                    "cold_remaining": "0ms",
+                },
+                "born": 1_700_000_000_000 + host.upstream_number,
+            },
+        )
+
+    async def drain(self, host):
+        """Replace a host's upstream; the old one says that it leaves."""
+        leaving = host.upstream_id
+        if leaving in self.records.leaving_at_by_id:
+            return
+        self.register(host, "draining")
+        self.records.leaving_at_by_id[leaving] = self.clock()
+        await trio.sleep(REPLACE_SECONDS)
+        self.store.delete(f"servers/{leaving}")
+        host.upstream_number += 1
+        self.register(host)
+
+    async def take_domain_out(self, domain, seconds):
+        """Take a failure domain out of service for some time."""
+        key = f"op/evacuate/{domain}"
+        if key in self.store.items_by_key:
+            return
+        self.store.put(key, {"zone": domain})
+        began = self.clock()
+        await trio.sleep(seconds)
+        self.store.delete(key)
+        self.records.domains_out.append((domain, began, self.clock()))
+
+    # Upstreams.
+
+    async def _answer(self, host, request):
+        own = model.Header(name="instance-id", value=host.upstream_id)
+        if request.target == "/health":
+            return model.Response(status=200, headers=(own,))
+        if request.header("target-instance") != host.upstream_id:
+            return model.Response(status=421, headers=())
+        request_id = request.header("attempt-id")
+        self.records.add_run(request_id, host.upstream_id, self.clock())
+        await trio.sleep(self._random.uniform(0.005, 0.06))
+        return model.Response(
+            status=200,
+            headers=(
+                model.Header(name="server-signature", value="s"),
+                model.Header(name="attempt-id", value=request_id),
+            ),
+            body=make_body(request_id),
+        )
+
+
+def make_body(request_id):
+    """Return the answer of an upstream to a request."""
+    return request_id.encode() * 40
+
+
+def _rule(name, kind):
+    return {
+        "name": name,
+        "kind": "idempotent" if kind == "idempotent" else "non_idempotent",
+        "target_latency": "300ms",
+        "priority": 1,
+        "match": {"path_prefix": f"/{name}/"},
+        "action": {
+            "service": SERVICE,
+            "timeout": "1200ms",
+            "max_attempts": 2,
+        },
+    }
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -181,6 +181,58 @@
     assert peer.states[:2] == [True, False]
 
 
+class _StepCounter(trio.abc.Instrument):
+    def __init__(self):
+        self.steps = 0
+
+    def before_task_step(self, task):
+        self.steps += 1
+
+
+async def test_a_connection_without_calls_needs_no_processor_time(nursery):
+    """Guards against timers for each peer of a large fleet.
+
+    Pattern: a node with connections to all nodes of its fleet, most of which
+    carry nothing.
+    """
+
+    async def run_work(work, delay):
+        return _answer(work)
+
+    peers = [_Peer(run_work) for _ in range(10)]
+    for peer in peers:
+        await peer.start(nursery)
+        await peer.link.exchange(_work(1))
+    await trio.sleep(3 * links.WATCH_SECONDS)
+    counter = _StepCounter()
+    trio.lowlevel.add_instrument(counter)
+    await trio.sleep(10 * links.WATCH_SECONDS)
+    trio.lowlevel.remove_instrument(counter)
+    assert counter.steps < 10
+
+
+async def test_a_peer_that_falls_silent_after_a_quiet_time_is_noticed(
+    nursery,
+):
+    """Guards against a watch that does not wake with the next call."""
+    may_answer = True
+
+    async def run_work(work, delay):
+        if not may_answer:
+            await trio.sleep_forever()
+        return _answer(work)
+
+    peer = _Peer(run_work)
+    await peer.start(nursery)
+    await peer.link.exchange(_work(1))
+    await trio.sleep(3 * links.WATCH_SECONDS)
+    may_answer = False
+    with trio.move_on_after(4 * links.WATCH_SECONDS):
+        await peer.link.exchange(_work(2))
+    # The peer lives and answers the pings that the waiting call causes.
+    assert peer.link._last_received > peer.link._last_used
+
+
 async def test_bytes_that_are_no_message_end_only_their_connection(nursery):
     """Guards against a stray client that takes the node's port down."""
 
