Avoid a failure domain as a whole when several of its nodes fall silent

Each node of a cut domain cost requests before its silence was noticed, and the reconnection task, every 0.4 s, put silent nodes back in use because their connection was still open. A node that was lost is used again only when it answers; a connection that answers no ping is closed. A connection that is closed because nothing uses it says nothing of its peer.

--- a/shallotbridge/peers/links.py
+++ b/shallotbridge/peers/links.py
@@ -24,6 +24,10 @@
 CONNECT_SECONDS = 0.15
 # A connection that nothing used for this long is closed, s.
 IDLE_SECONDS = 10.0
+# Reasons of a lost connection that speak for a partition: the peer's host
+# would refuse or reset the connection if only the process had ended.
+SILENT = "silent"
+NO_CONNECTION = "no connection in time"
 
 
 class _PendingCall:
@@ -83,6 +87,9 @@
         self._scope = None
         self._connecting = None
         self._has_calls = trio.Event()
+        self._is_doubted = False
+        # Whether this node closes the connection because nothing uses it.
+        self._is_closing = False
         self._last_received = 0.0
         self._last_used = 0.0
 
@@ -91,6 +98,15 @@
         """Whether the connection is open."""
         return self._stream is not None
 
+    @property
+    def is_answering(self):
+        """Whether the connection is open and the peer not silent on it."""
+        return self._stream is not None and not self._is_doubted
+
+    def has_heard_since(self, time):
+        """Tell whether bytes of the peer arrived after a time."""
+        return self._stream is not None and self._last_received > time
+
     @property
     def pending_count(self):
         """Requests that wait for the peer's answer."""
@@ -122,7 +138,7 @@
 
     async def _connect(self):
         stream = None
-        reason = f"no connection within {CONNECT_SECONDS} s"
+        reason = NO_CONNECTION
         try:
             with trio.move_on_after(CONNECT_SECONDS):
                 stream = await self._open_stream(self.address, self._port)
@@ -190,6 +206,7 @@
 
     async def _run(self, stream, outbox):
         reason = "closed by the peer"
+        self._is_closing = False
         try:
             async with trio.open_nursery() as nursery:
                 self._scope = nursery.cancel_scope
@@ -215,7 +232,8 @@
                 error.is_reset = True
                 call.error = error
                 call.event.set()
-            self._on_state(self.address, False, reason)
+            if not self._is_closing:
+                self._on_state(self.address, False, reason)
 
     async def _read(self, stream):
         reader = frames.FrameReader(stream=stream)
@@ -236,18 +254,19 @@
     async def _watch(self, outbox, scope):
         """Ping while calls wait; give up a silent or unused connection."""
         pinged_at = None
-        is_doubted = False
+        self._is_doubted = False
         while True:
             if pinged_at is None and not self._calls_by_id:
                 if await self._is_unused():
+                    self._is_closing = True
                     scope.cancel()
                     return
             await trio.sleep(WATCH_SECONDS)
             now = trio.current_time()
             if pinged_at is not None and self._last_received >= pinged_at:
                 pinged_at = None
-                if is_doubted:
-                    is_doubted = False
+                if self._is_doubted:
+                    self._is_doubted = False
                     self._on_state(self.address, True, "answers again")
             if pinged_at is None:
                 silence = now - self._last_received
@@ -263,9 +282,9 @@
                 )
                 scope.cancel()
                 return
-            elif now - pinged_at > DOUBT_SECONDS and not is_doubted:
-                is_doubted = True
-                self._on_state(self.address, False, "silent")
+            elif now - pinged_at > DOUBT_SECONDS and not self._is_doubted:
+                self._is_doubted = True
+                self._on_state(self.address, False, SILENT)
 
     async def _is_unused(self):
         """Wait for a call; tell whether none came for ``IDLE_SECONDS``.
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -14,6 +14,7 @@
 from ..distribution import views
 from ..peers import links as peer_links
 from ..peers import server as peer_server
+from ..peers import silence
 from ..traffic import client_connections
 from ..traffic import entry
 from ..traffic import model
@@ -30,6 +31,9 @@
 GRACE_MARGIN_SECONDS = 0.4
 # Owner nodes that could not be reached are tried again this often, s.
 RECONNECT_SECONDS = 0.4
+# A node that answers a ping within this time is used again, s; nodes are some
+# ms apart.
+PING_SECONDS = 0.1
 METRICS_PATH = "/metrics"
 
 
@@ -99,6 +103,9 @@
         self._nursery = None
         self._links_by_address = {}
         self._reached_by_address = {}
+        self._silence = silence.DomainSilence(
+            own_domain=terms.own_host.failure_domain
+        )
         self._budgets_by_service = {}
         self._is_leaving = False
         self._client_scope = trio.CancelScope()
@@ -226,6 +233,32 @@
             self._selector.on_reached(address)
         else:
             self._selector.on_unreachable(address)
+            if reason in (peer_links.SILENT, peer_links.NO_CONNECTION):
+                self._on_silence(address)
+
+    def _on_silence(self, address):
+        """Avoid the failure domain of a silent node if it is cut off."""
+        domains_by_address = {
+            other: domain
+            for other, domain in self._peers()
+            if other in self._links_by_address
+        }
+        avoided = self._silence.on_silence(
+            address,
+            trio.current_time(),
+            domains_by_address,
+            lambda other, time: self._link(other).has_heard_since(time),
+        )
+        for other in avoided:
+            self._selector.on_unreachable(other)
+            self._nursery.start_soon(self._try_link, other)
+        if avoided:
+            decisions.record(
+                "domain_doubted",
+                chosen=domains_by_address[address],
+                peer=address,
+                avoided=len(avoided),
+            )
 
     # The published state.
 
@@ -261,6 +294,7 @@
                 peer.close()
                 del self._links_by_address[address]
                 self._reached_by_address.pop(address, None)
+                self._silence.forget(address)
 
     async def _reconnect(self):
         """Try the owner nodes again that could not be reached."""
@@ -271,15 +305,21 @@
 
     async def _try_link(self, address):
         peer = self._link(address)
-        if peer.is_connected:
-            self._selector.on_reached(address)
-            return
+        began = trio.current_time()
         try:
             await peer.connect()
         except errors.UpstreamUnreachableError:
             # The link reports its state itself.
             return
         peer.ping()
+        await trio.sleep(PING_SECONDS)
+        if peer.is_answering and peer.has_heard_since(began):
+            self._selector.on_reached(address)
+        elif not peer.pending_count and not peer.has_heard_since(
+            began - peer_links.SILENCE_SECONDS
+        ):
+            # It may be dead for good while a new connection works.
+            peer.close()
 
     # Start and stop.
 
