Repeat what upstreams themselves refuse, within the budget

Their refusals counted as failures of the service, so that no request was repeated, although a refused request costs the service next to nothing; clients were told to come back after 0.25 s. Change: refusals by an upstream do not stop repeats; they are bounded by the budget and the attempts as before. Retry-After is 0.05 s after such a refusal.

--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -28,6 +28,8 @@
 REPLY_MARGIN_SECONDS = 0.1
 # Time after which a client may come back if no owner node named one, s.
 DEFAULT_RETRY_AFTER_SECONDS = 0.25
+# The same after a refusal by an upstream itself, which may have room already.
+REFUSED_RETRY_AFTER_SECONDS = 0.05
 # Share of the time after which refused clients come back that is random, so
 # that they do not come back together.
 RETRY_AFTER_SPREAD = 0.5
@@ -332,7 +334,7 @@
             if isinstance(error, errors.UnknownServiceError):
                 selector.on_other_instance(upstream.upstream_id, now)
             if reply.has_arrived:
-                selector.on_failure(upstream, now)
+                selector.on_refused(upstream, now)
             else:
                 call.arrivals -= 1
             raise error
@@ -450,7 +452,11 @@
         return self._response(status, error, request_id, retry_after)
 
     def _retry_after(self, error):
-        seconds = error.retry_after or DEFAULT_RETRY_AFTER_SECONDS
+        seconds = error.retry_after or (
+            REFUSED_RETRY_AFTER_SECONDS
+            if isinstance(error, errors.UpstreamRefusedError)
+            else DEFAULT_RETRY_AFTER_SECONDS
+        )
         spread = RETRY_AFTER_SPREAD * self._random.random()
         return seconds * (1 - RETRY_AFTER_SPREAD / 2 + spread)
 
--- a/shallotbridge/traffic/selection.py
+++ b/shallotbridge/traffic/selection.py
@@ -287,6 +287,14 @@
     def on_failure(self, upstream, now):
         """Learn that an upstream did not give a good answer."""
         self._note_outcome(upstream.service, True)
+        self.on_refused(upstream, now)
+
+    def on_refused(self, upstream, now):
+        """Learn that an upstream refused a request that it got.
+
+        Unlike a failure it does not count against repeats: what was refused
+        costs the service next to nothing.
+        """
         state = self._state(upstream.upstream_id)
         speed, failures = self._recent(state, now)
         state.speed = speed
--- a/tests/traffic/test_entry.py
+++ b/tests/traffic/test_entry.py
@@ -167,6 +167,32 @@
         assert len(owners.offers) <= 2
 
 
+async def test_what_upstreams_refuse_is_repeated_within_the_budget(
+    autojump_clock,
+):
+    """Guards against giving up requests that another upstream would run.
+
+    Pattern: all upstreams of a service shed half of what they get, and say
+    so (molarline-za scale-1). At two attempts each, at least two thirds must
+    be served; without repeats it is half.
+    """
+    shed = random.Random(5)
+
+    async def behave(address, work):
+        if shed.random() < 0.5:
+            return _refusal("SB-3014", has_arrived=True)
+        return _answer()
+
+    server, _, _ = _server(behave)
+    served = 0
+    for _ in range(100):
+        response = await server.answer(_request())
+        served += response.status == 200
+        if response.status != 200:
+            assert float(response.header("retry-after")) < 0.1
+    assert served >= 67
+
+
 async def test_repeats_stop_when_most_of_a_service_fails(autojump_clock):
     """Guards against repeats that feed a failure of a whole service.
 
