--- a/tests/traffic/test_entry.py
+++ b/tests/traffic/test_entry.py
@@ -110,6 +110,15 @@
     )
 
 
+async def _answer_beside_tasks(server):
+    """Return the response while the server looks after slow requests."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server.run_tasks)
+        response = await server.answer(_request())
+        nursery.cancel_scope.cancel()
+    return response
+
+
 HOLD = builders.route(is_idempotent=False)
 
 
@@ -310,11 +319,8 @@
         return _refusal(errors.OverloadedError.code, 80.0)
 
     server, owners, _ = _server(behave)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(server.run_tasks)
-        assert (await server.answer(_request())).status == 200
-        assert len(owners.offers) == 2
-        nursery.cancel_scope.cancel()
+    assert (await _answer_beside_tasks(server)).status == 200
+    assert len(owners.offers) == 2
 
 
 async def test_a_hedge_is_awaited_when_the_first_upstream_fails(
@@ -330,11 +336,8 @@
         return _answer()
 
     server, owners, _ = _server(behave)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(server.run_tasks)
-        assert (await server.answer(_request())).status == 200
-        assert len(owners.offers) == 2
-        nursery.cancel_scope.cancel()
+    assert (await _answer_beside_tasks(server)).status == 200
+    assert len(owners.offers) == 2
 
 
 async def test_the_second_upstream_is_told_when_the_first_has_answered(
