Bound the upstreams that a node uses; weigh the bytes of a route against leaving its domain

Cause: choices and pings between nodes touched every node, so that each node held a connection to nearly every other one (31 KB and 35 KB a pair; 13 MB a node at 195 hosts). Change: a node uses eight upstreams of its own domain and six others of each service, by rendezvous hashing, and compares four random ones of the rest when none of these has a slot within 0.02 s; revisions are exchanged with four other nodes by rendezvous hashing. Leaving the own domain has to gain 5 s for each MB that requests of the route usually move.

--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -2,6 +2,7 @@
 
 import functools
 import hashlib
+import heapq
 import math
 import zlib
 
@@ -32,8 +33,11 @@
 RETRY_SECONDS = 0.3
 MAXIMUM_RETRY_SECONDS = 0.7
 # A peer is asked for its revision this often, s, and asked for its items if
-# it is still ahead after the delay.
+# it is still ahead after the delay. Each node asks a few others only, so that
+# its connections do not grow with the fleet; each pair learns from a ping who
+# is behind, and four others of each node connect a fleet of any size.
 GOSSIP_SECONDS = 0.5
+GOSSIP_PEERS = 4
 CATCH_UP_DELAY_SECONDS = 0.3
 # Longest time that a pull waits at a reader for news, s. The next pull goes
 # to another reader, which covers one that lost the platform unnoticed.
@@ -338,26 +342,39 @@
                 )
 
     async def _gossip(self):
-        """Learn from a random node whether this one is behind."""
+        """Learn from other nodes whether this one is behind."""
+        unreachable = set()
         while True:
             await trio.sleep(
                 GOSSIP_SECONDS * (0.75 + 0.5 * self._random.random())
             )
-            addresses = [
-                address
-                for address, _ in self._peers_of()
-                if address != self._own_address
-            ]
+            addresses = self._gossip_peers(unreachable)
             if not addresses:
+                unreachable.clear()
                 continue
-            peer = self._links(self._random.choice(addresses))
+            address = self._random.choice(addresses)
+            peer = self._links(address)
             try:
                 await peer.connect()
             except errors.CallError:
-                # The link itself reports that it cannot connect.
+                # The link itself reports that it cannot connect; the next
+                # node of the ranking takes its place.
+                unreachable.add(address)
                 continue
+            unreachable.clear()
             peer.ping()
 
+    def _gossip_peers(self, unreachable):
+        """Return the nodes that are asked for their revision."""
+        addresses = {address for address, _ in self._peers_of()}
+        addresses -= unreachable
+        addresses.discard(self._own_address)
+        return heapq.nsmallest(
+            GOSSIP_PEERS,
+            addresses,
+            key=lambda address: _rank(f"{self._own_address} {address}"),
+        )
+
     def _notify(self):
         self._changed.set()
         self._changed = trio.Event()
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -132,7 +132,9 @@
             random=random,
         )
         self._selector = selection.Selector(
-            own_domain=own_host.failure_domain, random=random
+            own_address=own_host.address,
+            own_domain=own_host.failure_domain,
+            random=random,
         )
         self._splits = routing.SplitCounters()
         self._owner = owner.OwnerServer(
--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -389,7 +389,13 @@
         if reply.status >= _UPSTREAM_ERROR:
             selector.on_failure(upstream, now)
         else:
-            selector.on_answer(upstream, call.route, reply.run_ms / 1000, now)
+            selector.on_answer(
+                upstream,
+                call.route,
+                reply.run_ms / 1000,
+                now,
+                len(call.request.body) + len(reply.body),
+            )
         return reply
 
     def _learn_failure(self, upstream, error):
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -162,9 +162,7 @@
         return configuration.services_by_name.get(service, _NO_TERMS)
 
     def _begin_cold(self, seconds):
-        self._cold_start.begin(
-            trio.current_time(), seconds, self._cold_rate()
-        )
+        self._cold_start.begin(trio.current_time(), seconds, self._cold_rate())
 
     def _cold_rate(self):
         """Return the requests that the upstream gets in a second if cold."""
--- a/shallotbridge/traffic/selection.py
+++ b/shallotbridge/traffic/selection.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import hashlib
 import math
 
 from ..core import errors
@@ -31,11 +32,18 @@
 # An upstream whose owner node says that another instance runs there is left
 # out for this time, s; entries are corrected within some seconds.
 OTHER_INSTANCE_SECONDS = 1.0
-# Upstreams that one choice compares: all of a small service, and of a large
-# one a random part, mostly of the own failure domain. The time of a choice
-# then does not grow with the fleet.
-COMPARED_OWN_DOMAIN = 8
-COMPARED_OTHER_DOMAINS = 6
+# What a request and its answer carry out of the own failure domain has to gain
+# this much more, s for each MB: the links between domains are dear.
+OTHER_DOMAIN_SECONDS_PER_MB = 5.0
+# Upstreams that a node uses: all of a small service, and of a large one a part,
+# mostly of the own failure domain. Connections of a node and the time of a
+# choice then do not grow with the fleet.
+NEAR_OWN_DOMAIN = 8
+NEAR_OTHER_DOMAINS = 6
+# When none of them is expected to have a slot within this time, s, some others
+# are compared too.
+NEAR_WAIT_SECONDS = 0.02
+COMPARED_OTHERS = 4
 # Random part of the expected time, s: keeps the nodes from choosing the same
 # upstream in the same moment.
 SPREAD_SECONDS = 0.008
@@ -56,6 +64,16 @@
     closed_until: float = 0.0
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Found:
+    """The best upstream of those that were compared so far."""
+
+    upstream: object = None
+    cost: float = math.inf
+    wait: float = 0.0
+    candidates: int = 0
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Choice:
     """A chosen upstream and what decided.
@@ -79,18 +97,25 @@
 
     Parameters
     ----------
+    own_address : str
+        Address of this node; decides which part of a service it uses.
     own_domain : str
         Failure domain of this node.
     random : random.Random
     """
 
-    def __init__(self, *, own_domain, random):
+    def __init__(self, *, own_address, own_domain, random):
+        self._own_address = own_address
         self._own_domain = own_domain
         self._random = random
         self._states_by_id = {}
         self._ids_by_address = {}
         self._seconds_by_route = {}
+        self._bytes_by_route = {}
         self._failures_by_service = {}
+        # For each service its upstreams and the part that this node uses.
+        self._near_by_service = {}
+        self._ranks_by_id = {}
 
     def expected_seconds(self, route):
         """Return how long a request of a route usually runs."""
@@ -102,6 +127,11 @@
             view.upstreams_by_id.keys()
         ):
             del self._states_by_id[upstream_id]
+        for upstream_id in self._ranks_by_id.keys() - (
+            view.upstreams_by_id.keys()
+        ):
+            del self._ranks_by_id[upstream_id]
+        self._near_by_service.clear()
         self._ids_by_address = {
             upstream.address: upstream.upstream_id
             for upstream in view.upstreams_by_id.values()
@@ -136,12 +166,38 @@
         errors.NoUpstreamError
             None can be chosen.
         """
-        best = None
-        best_cost = 0.0
-        best_wait = 0.0
-        candidates = 0
+        found = _Found()
+        near = self._near(upstreams)
+        self._compare(found, near, route, excluded, now, maximum_wait)
+        if len(near) < len(upstreams) and (
+            found.upstream is None or found.wait > NEAR_WAIT_SECONDS
+        ):
+            others = self._random.sample(
+                upstreams, min(COMPARED_OTHERS, len(upstreams))
+            )
+            self._compare(found, others, route, excluded, now, maximum_wait)
+        if found.upstream is None:
+            raise errors.NoUpstreamError(
+                f"none of {len(upstreams)} upstreams can take a request of "
+                f"{route.name!r}; {len(excluded)} were tried"
+            )
+        state = self._state(found.upstream.upstream_id)
+        return Choice(
+            upstream=found.upstream,
+            candidates=found.candidates,
+            expected_wait=found.wait,
+            load_age=None if state.load is None else now - state.load_at,
+        )
+
+    def _compare(self, found, upstreams, route, excluded, now, maximum_wait):
+        """Note the upstream with the least expected time until the answer."""
         run_seconds = self.expected_seconds(route)
-        for upstream in self._sample(upstreams):
+        crossing_seconds = OTHER_DOMAIN_SECONDS + (
+            self._bytes_by_route.get(route.name, 0.0)
+            / 1e6
+            * OTHER_DOMAIN_SECONDS_PER_MB
+        )
+        for upstream in upstreams:
             upstream_id = upstream.upstream_id
             if upstream_id in excluded:
                 continue
@@ -151,7 +207,7 @@
             wait = self._expected_wait(state, upstream, run_seconds, now)
             if wait > maximum_wait:
                 continue
-            candidates += 1
+            found.candidates += 1
             speed, failures = self._recent(state, now)
             cost = (
                 wait
@@ -160,39 +216,41 @@
                 + self._random.random() * SPREAD_SECONDS
             )
             if upstream.failure_domain != self._own_domain:
-                cost += OTHER_DOMAIN_SECONDS
-            if best is None or cost < best_cost:
-                best = upstream
-                best_cost = cost
-                best_wait = wait
-        if best is None:
-            raise errors.NoUpstreamError(
-                f"none of {len(upstreams)} upstreams can take a request of "
-                f"{route.name!r}; {len(excluded)} were tried"
-            )
-        state = self._state(best.upstream_id)
-        return Choice(
-            upstream=best,
-            candidates=candidates,
-            expected_wait=best_wait,
-            load_age=None if state.load is None else now - state.load_at,
-        )
+                cost += crossing_seconds
+            if cost < found.cost:
+                found.upstream = upstream
+                found.cost = cost
+                found.wait = wait
 
-    def _sample(self, upstreams):
-        """Return the upstreams that one choice compares."""
-        if len(upstreams) <= COMPARED_OWN_DOMAIN + COMPARED_OTHER_DOMAINS:
+    def _near(self, upstreams):
+        """Return the part of a service that this node uses.
+
+        Rendezvous hashing: each upstream is used by about as many nodes as
+        any other, and few nodes change their part when one comes or goes.
+        """
+        if len(upstreams) <= NEAR_OWN_DOMAIN + NEAR_OTHER_DOMAINS:
             return upstreams
+        service = upstreams[0].service
+        known = self._near_by_service.get(service)
+        if known is not None and known[0] is upstreams:
+            return known[1]
         own = []
         others = []
-        for upstream in upstreams:
+        for upstream in sorted(upstreams, key=self._rank):
             is_own = upstream.failure_domain == self._own_domain
             (own if is_own else others).append(upstream)
-        random = self._random
-        if len(own) > COMPARED_OWN_DOMAIN:
-            own = random.sample(own, COMPARED_OWN_DOMAIN)
-        if len(others) > COMPARED_OTHER_DOMAINS:
-            others = random.sample(others, COMPARED_OTHER_DOMAINS)
-        return own + others
+        near = own[:NEAR_OWN_DOMAIN] + others[:NEAR_OTHER_DOMAINS]
+        self._near_by_service[service] = (upstreams, near)
+        return near
+
+    def _rank(self, upstream):
+        upstream_id = upstream.upstream_id
+        rank = self._ranks_by_id.get(upstream_id)
+        if rank is None:
+            text = f"{self._own_address} {upstream_id}".encode()
+            rank = hashlib.blake2b(text, digest_size=8).digest()
+            self._ranks_by_id[upstream_id] = rank
+        return rank
 
     def _expected_wait(self, state, upstream, run_seconds, now):
         load = state.load
@@ -272,8 +330,24 @@
             is_failure - known
         )
 
-    def on_answer(self, upstream, route, seconds, now):
-        """Learn from an answer how fast an upstream is."""
+    def on_answer(self, upstream, route, seconds, now, byte_count=None):
+        """Learn from an answer how fast an upstream is.
+
+        Parameters
+        ----------
+        upstream : model.Upstream
+        route : model.Route
+        seconds : float
+            Time at the upstream.
+        now : float
+        byte_count : int, optional
+            Bytes of the request's and the answer's bodies.
+        """
+        if byte_count is not None:
+            known = self._bytes_by_route.get(route.name, byte_count)
+            self._bytes_by_route[route.name] = known + SMOOTHING * (
+                byte_count - known
+            )
         usual = self.expected_seconds(route)
         self._seconds_by_route[route.name] = usual + SMOOTHING * (
             seconds - usual
