Offer a request again only where it would be on time

Change: an upstream that refused for a long wait is chosen again only if a request that waits as long would still be on time; six instead of four random upstreams are compared when the near ones have no slot.

--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -7,6 +7,7 @@
 import trio
 
 from .._generated import link
+from . import admission
 from . import call as calls
 from ..core import decisions
 from ..core import errors
@@ -252,14 +253,22 @@
             return False
         if isinstance(error, errors.NoUpstreamError):
             return False
-        if isinstance(error, errors.OverloadedError):
+        upstream_id = call.offers[-1].upstream.upstream_id
+        if (
+            isinstance(error, errors.OverloadedError)
+            and upstream_id not in call.busy
+            and self._would_be_on_time(call, error.retry_after or 0.0)
+        ):
             # Its wait is known now and may still be the shortest.
-            upstream_id = call.offers[-1].upstream.upstream_id
-            if upstream_id not in call.busy:
-                call.busy.add(upstream_id)
-                call.tried.discard(upstream_id)
+            call.busy.add(upstream_id)
+            call.tried.discard(upstream_id)
         return True
 
+    def _would_be_on_time(self, call, wait):
+        usual = self._selector.expected_seconds(call.route)
+        end = trio.current_time() + wait + usual * admission.ON_TIME_SHARE
+        return end <= call.started_at + call.route.objective_seconds
+
     def _may_repeat(self, call, ask_budget):
         """Tell whether one more upstream may get the request.
 
--- a/shallotbridge/traffic/selection.py
+++ b/shallotbridge/traffic/selection.py
@@ -43,7 +43,7 @@
 # When none of them is expected to have a slot within this time, s, some others
 # are compared too.
 NEAR_WAIT_SECONDS = 0.02
-COMPARED_OTHERS = 4
+COMPARED_OTHERS = 6
 # Random part of the expected time, s: keeps the nodes from choosing the same
 # upstream in the same moment.
 SPREAD_SECONDS = 0.008
