Read the platform with one node a domain and pass items on in a tree

Change: one node of a domain reads, and each node serves at most eight others, in a tree by the same ranking. A reader that the platform turns away says so to the next two of the ranking, which read in its place; of a platform that is down at most three nodes a domain are callers. Changes are gathered for a quarter of the agreed time until they are in force. Tests: the count of readers and the bound of nodes that one serves are replaced by stricter ones (1 reader, 8 children, depth); readers lost in turn; a platform that is down.

--- a/shallotbridge/_generated/link.py
+++ b/shallotbridge/_generated/link.py
@@ -174,6 +174,8 @@
     position: int
     # how long the answer may wait for news
     wait_ms: int
+    # the sender reads the platform if it turned the receiver away
+    may_read: bool = False
 
 
 class PublishedItem(
@@ -206,3 +208,5 @@
     # true: items not listed do not exist
     is_whole: bool
     items: tuple[PublishedItem, ...]
+    # the platform turned the sender away; another node is to read
+    is_turned_away: bool = False
--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -13,21 +13,24 @@
 from ..core import decisions
 from ..core import errors
 
-# One of so many nodes of a failure domain, and at least one, watches the
-# platform; the others ask them. A changed configuration of 2,300 routes takes
-# a reader 0.03 s for each node on a link of 10 Mbit/s. What the readers of a
-# domain miss, those of the other domains bring by the pings.
-NODES_PER_READER = 10
+# One node of a failure domain watches the platform. The others pull from it in
+# a tree with this many children a node: a changed configuration of 2,300 routes
+# takes 0.03 s for each child on a link of 10 Mbit/s. What the reader of a domain
+# misses, those of the other domains bring by the pings.
+MAXIMUM_CHILDREN = 8
+# Nodes of a domain that take the reader's place when the platform turns it away;
+# more would only load a platform that is down.
+READER_CANDIDATES = 3
 # Time that a watch waits at the platform for news, s. A lost answer is
 # noticed after it, and each watch costs a call.
 WATCH_SECONDS = 4.0
-# After news, time in which further changes are gathered into one call, s. A
-# change has to be in force after 2 s.
-GATHER_SECONDS = 0.5
+# Share of the time until a change has to be in force in which a reader gathers
+# further changes into one call; the rest is for the way to the other nodes.
+GATHER_SHARE = 0.25
 # Time between reads while nothing is published yet, s.
 EMPTY_SECONDS = 0.5
-# A reader that does not answer is passed over for this long, s, and the next
-# node of the domain reads in its place.
+# A node that does not answer, or a reader that the platform turns away, is
+# passed over for this long, s, and the next one takes its place.
 PASS_OVER_SECONDS = 2.0
 # Time between attempts while the platform is unavailable, s.
 RETRY_SECONDS = 0.3
@@ -43,7 +46,11 @@
 # to another reader, which covers one that lost the platform unnoticed.
 PULL_WAIT_SECONDS = 1.0
 PULL_TIMEOUT_SECONDS = 1.5
-_PULL_ERRORS = (errors.CallError, errors.PeerUnavailableError)
+_PULL_ERRORS = (
+    errors.CallError,
+    errors.PeerUnavailableError,
+    errors.PlatformUnavailableError,
+)
 
 
 class Follower:
@@ -66,6 +73,8 @@
         other nodes.
     links : callable
         ``links(address)`` returns the ``PeerLink`` to a node.
+    apply_seconds : float
+        Time after which a published change has to be in force.
     random : random.Random
     record : callable
         ``record(action, **fields)`` writes the decision log.
@@ -90,6 +99,7 @@
         own_domain,
         peers_of,
         links,
+        apply_seconds,
         random,
         record=decisions.record,
     ):
@@ -101,6 +111,7 @@
         self._own_domain = own_domain
         self._peers_of = peers_of
         self._links = links
+        self._gather_seconds = apply_seconds * GATHER_SHARE
         self._random = random
         self._record = record
         self._is_available = True
@@ -108,6 +119,7 @@
         self._ahead = None
         self._ahead_event = trio.Event()
         self._passed_over_until = {}
+        self._turned_away_until = {}
         self.is_current = False
         self._became_current = trio.Event()
         self.unavailable_at = -math.inf
@@ -129,12 +141,15 @@
                 elif self.is_reader():
                     await self._watch_once()
                 else:
-                    await self._pull_from_reader()
+                    await self._pull_from_parent()
             except errors.HistoryLostError:
                 await self._read_whole_again()
             except errors.PlatformUnavailableError as error:
                 failures += 1
                 self._note_unavailable(error)
+                self._turn_away(self._own_address)
+                if not self.is_reader():
+                    continue
                 delay = min(
                     MAXIMUM_RETRY_SECONDS,
                     RETRY_SECONDS * 1.5 ** (failures - 1),
@@ -145,32 +160,56 @@
 
     def is_reader(self):
         """Tell whether this node watches the platform itself."""
-        return self._own_address in self._readers()
+        return self.parent is None
 
-    def _readers(self):
+    @property
+    def parent(self):
+        """Address of the node that this one pulls from; None for a reader."""
         now = trio.current_time()
-        domain = self._ranked_domain()
-        ranked = [
-            address
-            for address in domain
-            if self._passed_over_until.get(address, now) <= now
-        ]
-        return ranked[: math.ceil(len(domain) / NODES_PER_READER)]
-
-    def _readers_in_turn(self):
-        """Return the readers; each node begins with another one."""
-        readers = self._readers()
-        own_place = self._ranked_domain().index(self._own_address)
-        first = own_place % max(1, len(readers))
-        return readers[first:] + readers[:first]
-
-    def _ranked_domain(self):
-        addresses = [
+        ranked = self._live_domain(now)
+        candidates = ranked[:READER_CANDIDATES]
+        reader = next(
+            (
+                address
+                for address in candidates
+                if self._turned_away_until.get(address, now) <= now
+            ),
+            ranked[0],
+        )
+        ranked.remove(reader)
+        if reader == self._own_address:
+            return None
+        place = 1 + ranked.index(self._own_address)
+        parent_place = (place - 1) // MAXIMUM_CHILDREN
+        return reader if parent_place == 0 else ranked[parent_place - 1]
+
+    def _may_read(self):
+        """Tell whether this node may take the reader's place."""
+        ranked = self._live_domain(trio.current_time())
+        return self._own_address in ranked[:READER_CANDIDATES]
+
+    def _live_domain(self, now):
+        """Return the nodes of the own domain that answer, in their ranking."""
+        addresses = {
             address
             for address, failure_domain in self._peers_of()
             if failure_domain == self._own_domain
-        ]
-        return sorted({*addresses, self._own_address}, key=_rank)
+            and self._passed_over_until.get(address, now) <= now
+        }
+        addresses.add(self._own_address)
+        return sorted(addresses, key=_rank)
+
+    def _pass_over(self, address):
+        until = trio.current_time() + PASS_OVER_SECONDS
+        self._passed_over_until[address] = until
+
+    def _turn_away(self, address):
+        """Let another node read in place of one without the platform."""
+        until = trio.current_time() + PASS_OVER_SECONDS
+        self._turned_away_until[address] = until
+        if address == self._own_address:
+            # Nodes that wait here for news are told to go elsewhere.
+            self._wake_pulls()
 
     async def _read_first(self, failures):
         """Learn who the other nodes are.
@@ -215,25 +254,27 @@
         if items:
             self._mirror.apply(items, position)
             self._notify()
-            await trio.sleep(GATHER_SECONDS)
+            await trio.sleep(self._gather_seconds)
 
-    async def _pull_from_reader(self):
+    async def _pull_from_parent(self):
         wait = PULL_WAIT_SECONDS if self.is_current else 0.0
-        for address in self._readers_in_turn():
-            try:
-                await self.pull(address, wait)
-            except _PULL_ERRORS as error:
-                now = trio.current_time()
-                self._passed_over_until[address] = now + PASS_OVER_SECONDS
-                self._record(
-                    "pull_failed",
-                    peer=address,
-                    code=error.code,
-                    detail=error.detail,
-                    readers=self._readers(),
-                )
+        address = self.parent
+        try:
+            await self.pull(address, wait)
+        except _PULL_ERRORS as error:
+            if isinstance(error, errors.PlatformUnavailableError):
+                self._turn_away(address)
             else:
-                return
+                self._pass_over(address)
+            self._record(
+                "pull_failed",
+                peer=address,
+                code=error.code,
+                detail=error.detail,
+                parent=self.parent,
+            )
+            if self.parent == address:
+                await trio.sleep(RETRY_SECONDS)
 
     async def pull(self, address, wait_seconds):
         """Ask a node for what is newer than the own revision.
@@ -244,6 +285,8 @@
             The node could not be reached or did not answer.
         errors.PeerUnavailableError
             The node is not up to date itself.
+        errors.PlatformUnavailableError
+            The platform turned the node away.
         """
         peer = self._links(address)
         position = self._mirror.position
@@ -253,6 +296,7 @@
                     call_id=peer.next_call_id(),
                     position=position,
                     wait_ms=int(wait_seconds * 1000),
+                    may_read=self._may_read(),
                 )
             )
             self._take(reply, address)
@@ -262,6 +306,10 @@
         )
 
     def _take(self, reply, address):
+        if reply.is_turned_away:
+            raise errors.PlatformUnavailableError(
+                f"the platform turned the node at {address} away"
+            )
         if reply.position == 0:
             raise errors.PeerUnavailableError(
                 f"the node at {address} is not up to date itself"
@@ -291,8 +339,18 @@
                 call_id=pull.call_id, position=0, is_whole=False, items=()
             )
         with trio.move_on_after(pull.wait_ms / 1000):
-            while self._mirror.position <= pull.position:
+            while self._mirror.position <= pull.position and not (
+                pull.may_read and self._is_turned_away()
+            ):
                 await self._changed.wait()
+        if pull.may_read and self._is_turned_away():
+            return link.Items(
+                call_id=pull.call_id,
+                position=0,
+                is_whole=False,
+                items=(),
+                is_turned_away=True,
+            )
         position = self._mirror.position
         is_whole, items = False, ()
         if position > pull.position:
@@ -304,6 +362,10 @@
             items=tuple(_compressed(item) for item in items),
         )
 
+    def _is_turned_away(self):
+        now = trio.current_time()
+        return self._turned_away_until.get(self._own_address, now) > now
+
     async def wait_current(self):
         """Wait until the mirror was up to date once."""
         await self._became_current.wait()
@@ -376,9 +438,12 @@
         )
 
     def _notify(self):
+        self._wake_pulls()
+        self._on_change()
+
+    def _wake_pulls(self):
         self._changed.set()
         self._changed = trio.Event()
-        self._on_change()
 
     def _note_unavailable(self, error):
         self.unavailable_at = trio.current_time()
--- a/shallotbridge/platform/settings.py
+++ b/shallotbridge/platform/settings.py
@@ -75,6 +75,9 @@
             "terms.bounds.cold_multiplier", float, DEFAULT_COLD_MULTIPLIER
         ),
         "cold_slack": reader.get("terms.bounds.cold_slack", float, 0.0),
+        "apply": reader.convert(
+            "terms.bounds.config_apply", durations.parse_duration
+        ),
         "grace": reader.convert(
             "terms.bounds.grace_period", durations.parse_duration
         ),
@@ -106,6 +109,7 @@
         retry_window_seconds=values["retry_window"],
         cold_multiplier=values["cold_multiplier"],
         cold_constant=values["cold_slack"],
+        apply_seconds=values["apply"],
         grace_seconds=values["grace"],
     )
 
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -51,6 +51,8 @@
     cold_multiplier, cold_constant : float
         A cold upstream may get, in any second, its tolerated rate times the
         multiplier and the constant besides, from all nodes together.
+    apply_seconds : float
+        Time after which a published change has to be in force.
     grace_seconds : float
         Time between the request to stop and the end by force.
     """
@@ -65,6 +67,7 @@
     retry_window_seconds: float
     cold_multiplier: float
     cold_constant: float
+    apply_seconds: float
     grace_seconds: float
 
 
@@ -129,6 +132,7 @@
             own_domain=own_host.failure_domain,
             peers_of=self._peers,
             links=self._link,
+            apply_seconds=terms.apply_seconds,
             random=random,
         )
         self._selector = selection.Selector(
--- a/soak/world.py
+++ b/soak/world.py
@@ -42,6 +42,9 @@
 address = "{store}:{store_port}"
 [terms.bounds]
 grace_period = "6s"
+config_apply = "2000ms"
+cold_multiplier = 1.5
+cold_slack = 5
 retry_budget_ratio = 0.2
 budget_window = "10s"
 retry_budget_slack = 56
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -61,6 +61,7 @@
         own_domain="a",
         peers_of=lambda: [(f"10.0.0.{one}", "a") for one in members],
         links=peers,
+        apply_seconds=2.0,
         random=random.Random(number),
         record=lambda action, **fields: lines.append(action),
     )
@@ -77,16 +78,17 @@
     return link.PublishedItem(key=key, revision=revision, value=value)
 
 
-@pytest.mark.parametrize("nodes, readers", [(4, 1), (17, 2), (29, 3)])
-async def test_few_nodes_of_a_domain_read_the_platform(nodes, readers):
+@pytest.mark.parametrize("nodes", [1, 4, 17, 29, 200])
+async def test_one_node_of_a_domain_reads_the_platform(nodes):
     """Guards against calls that grow with the fleet."""
     peers = _Peers()
     members = range(1, nodes + 1)
     made = [_follower(one, peers, members=members)[0] for one in members]
-    assert sum(one.is_reader() for one in made) == readers
+    assert sum(one.is_reader() for one in made) == 1
 
 
-async def test_no_reader_serves_much_more_nodes_than_the_others():
+@pytest.mark.parametrize("nodes, levels", [(9, 1), (29, 2), (200, 3)])
+async def test_no_node_serves_many_others(nodes, levels):
     """Guards against a reader whose link is too slow for its domain.
 
     Pattern: configurations in quick succession in a domain of 29 nodes, all
@@ -94,12 +96,127 @@
     444525300727: CONFIG 61, DRAIN 24).
     """
     peers = _Peers()
-    members = range(1, 30)
+    members = range(1, nodes + 1)
     made = [_follower(one, peers, members=members)[0] for one in members]
-    first_choices = collections.Counter(
-        one._readers_in_turn()[0] for one in made if not one.is_reader()
+    parents = {one._own_address: one.parent for one in made}
+    children = collections.Counter(parents.values())
+    assert max(children.values()) <= follower.MAXIMUM_CHILDREN
+
+    def depth(address):
+        parent = parents[address]
+        return 0 if parent is None else 1 + depth(parent)
+
+    assert max(depth(address) for address in parents) == levels
+
+
+class _Platform:
+    """A store whose revision grows with time, and whom it turns away.
+
+    Attributes
+    ----------
+    calls : collections.Counter
+        Watches by the number of the node.
+    """
+
+    def __init__(self, *, change_seconds=0.5):
+        self.calls = collections.Counter()
+        self.turned_away = set()
+        self._change_seconds = change_seconds
+
+    @property
+    def position(self):
+        return 1 + int(trio.current_time() / self._change_seconds)
+
+    def watch_of(self, number):
+        async def watch(position, seconds):
+            self.calls[number] += 1
+            await trio.sleep(0.004)
+            if number in self.turned_away:
+                raise errors.PlatformUnavailableError("503")
+            with trio.move_on_after(seconds):
+                while self.position <= position:
+                    await trio.sleep(0.01)
+            now = self.position
+            return [_item("a", now, b"%d" % now)] * (now > position), now
+
+        return watch
+
+
+def _domain(platform, nodes):
+    peers = _Peers()
+    members = range(1, nodes + 1)
+    made = [
+        _follower(one, peers, members=members, watch=platform.watch_of(one))[0]
+        for one in members
+    ]
+    for one in made:
+        _make_current(one, [_item("a", 1)], 1)
+    return peers, {int(one._own_address[7:]): one for one in made}
+
+
+def _ranked(followers_by_number):
+    """Return the numbers of the nodes in the ranking of their domain."""
+    return sorted(
+        followers_by_number,
+        key=lambda number: follower._rank(f"10.0.0.{number}"),
+    )
+
+
+@pytest.mark.parametrize("how", ["turned away", "dies", "both"])
+async def test_a_domain_follows_when_its_readers_are_lost_in_turn(
+    autojump_clock, how
+):
+    """Guards against a domain that is behind while others could read.
+
+    Pattern: the platform turns the reader away and its host dies, or the
+    same happens to the next two of the ranking 0.3 s apart. A change has to
+    be in force everywhere after 2 s; the node without the platform too.
+    """
+    platform = _Platform()
+    peers, followers = _domain(platform, 29)
+    ranked = _ranked(followers)
+    lost = set()
+    async with trio.open_nursery() as nursery:
+        for one in followers.values():
+            nursery.start_soon(one._follow)
+        await trio.sleep(3.0)
+        for number in ranked[:2]:
+            if how != "turned away":
+                del peers.followers_by_address[f"10.0.0.{number}"]
+                lost.add(number)
+            if how != "dies":
+                platform.turned_away.add(number)
+            await trio.sleep(0.3)
+        for _ in range(20):
+            await trio.sleep(0.25)
+            published = int((trio.current_time() - 2.0) / 0.5)
+            behind = [
+                number
+                for number, one in followers.items()
+                if number not in lost and one._mirror.position < published
+            ]
+            assert not behind
+        nursery.cancel_scope.cancel()
+
+
+async def test_few_nodes_call_a_platform_that_is_down(autojump_clock):
+    """Guards against calls by whole domains while the platform is away.
+
+    Pattern: the platform answers nobody for 5 s; 29 nodes. Three of them try
+    it, each about twice a second at most.
+    """
+    platform = _Platform()
+    platform.turned_away.update(range(1, 30))
+    _, followers = _domain(platform, 29)
+    with trio.move_on_after(5.0):
+        async with trio.open_nursery() as nursery:
+            for one in followers.values():
+                nursery.start_soon(one._follow)
+    assert set(platform.calls) <= set(
+        _ranked(followers)[: follower.READER_CANDIDATES]
     )
-    assert max(first_choices.values()) <= follower.NODES_PER_READER
+    assert platform.calls.total() <= 3 * 5.0 / 0.3
+    platform.turned_away.clear()
 
 
 async def test_the_next_node_reads_when_the_reader_does_not_answer(
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -22,6 +22,9 @@
 address = "10.200.1.7:8142"
 [terms.bounds]
 grace_period = "6s"
+config_apply = "2000ms"
+cold_multiplier = 1.5
+cold_slack = 5
 retry_budget_ratio = 0.2
 budget_window = "10s"
 retry_budget_slack = 56
@@ -39,6 +42,8 @@
     assert terms.platform_address == ("10.200.1.7", 8142)
     assert terms.peer_port == 7380
     assert (terms.retry_ratio, terms.retry_constant) == (0.2, 56.0)
+    assert (terms.cold_multiplier, terms.cold_constant) == (1.5, 5.0)
+    assert terms.apply_seconds == 2.0
     assert (terms.retry_window_seconds, terms.grace_seconds) == (10.0, 6.0)
 
 
--- a/tests/runtime/test_node.py
+++ b/tests/runtime/test_node.py
@@ -117,6 +117,7 @@
                 retry_window_seconds=10.0,
                 cold_multiplier=1.5,
                 cold_constant=5.0,
+                apply_seconds=2.0,
                 grace_seconds=6.0,
             ),
             names=names.HEADER_NAMES,
