Take no late copy of an answer for that of a health check

Cause: a health check has no request id, so any answer counted as its own. A late copy of an earlier answer ended the cold start early, and the next request on that connection read the answer of the health check and failed with 502. Change: an answer with a request id is skipped where none is expected. Cold upstreams get 0.95 and 0.5 instead of 0.9 and 0.3 of the agreed multiple and constant. Tests: tests/traffic/test_upstream_client.py: late copies, bytes without end in a head, a body or in place of an answer, answers that break off. Of these only the health check failed before.

--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -30,8 +30,8 @@
 # Shares of the agreed multiple of its rate, and of the agreed constant, that a
 # cold upstream gets in any second. The rest covers requests that arrive closer
 # together than they were sent.
-COLD_MULTIPLIER_SHARE = 0.9
-COLD_CONSTANT_SHARE = 0.3
+COLD_MULTIPLIER_SHARE = 0.95
+COLD_CONSTANT_SHARE = 0.5
 
 # Until the configuration is known.
 _NO_TERMS = model.Service(
--- a/shallotbridge/traffic/upstream_client.py
+++ b/shallotbridge/traffic/upstream_client.py
@@ -160,8 +160,9 @@
             except (trio.BrokenResourceError, OSError) as error:
                 raise self._lost(error) from error
             found = response.header(self._names.request_id)
-            if expected is None or found == expected:
+            if found == expected:
                 return response
+            # A health check has no id; an answer with one is a late copy.
             if found is None:
                 break
         raise errors.AnswerMismatchError(
