Serve the connections that are established when a listener closes

Cause: at the end of a planned stop the kernel reset connections that it had established and the program had not accepted yet, with the requests that clients had sent on them. Change: when serving is cancelled, what is queued is accepted before the listener closes. Measured: the test failed first (connection reset by peer).

--- a/shallotbridge/transports/tcp.py
+++ b/shallotbridge/transports/tcp.py
@@ -259,7 +259,7 @@
     OSError
         The port is taken or the address is not one of this host.
     """
-    listener = await _listen(address, port)
+    listener = _listen(address, port)
     async with trio.open_nursery() as nursery:
         hang_ups = _HangUps()
         nursery.start_soon(hang_ups.run)
@@ -267,26 +267,57 @@
         # can shield them.
         with listener:
             task_status.started(listener.getsockname()[:2])
-            while True:
-                try:
-                    connection, _ = await listener.accept()
-                    stream = TcpStream(
-                        socket.socket(fileno=connection.detach()), hang_ups
-                    )
-                except OSError as error:
-                    if error.errno in _OVERLOAD_ERRORS:
-                        await trio.sleep(ACCEPT_RETRY_SECONDS)
-                    elif error.errno != errno.ECONNABORTED:
-                        raise
-                    continue
-                nursery.start_soon(_serve_stream, handler, stream)
-
-
-async def _listen(address, port):
-    listener = trio.socket.socket(_family(address), socket.SOCK_STREAM)
+            try:
+                await _accept(
+                    trio.socket.from_stdlib_socket(listener),
+                    handler,
+                    hang_ups,
+                    nursery,
+                )
+            finally:
+                _accept_queued(listener, handler, hang_ups, nursery)
+
+
+async def _accept(listener, handler, hang_ups, nursery):
+    """Run a task for each connection until cancelled."""
+    while True:
+        try:
+            connection, _ = await listener.accept()
+            stream = TcpStream(
+                socket.socket(fileno=connection.detach()), hang_ups
+            )
+        except OSError as error:
+            if error.errno in _OVERLOAD_ERRORS:
+                await trio.sleep(ACCEPT_RETRY_SECONDS)
+            elif error.errno != errno.ECONNABORTED:
+                raise
+            continue
+        nursery.start_soon(_serve_stream, handler, stream)
+
+
+def _accept_queued(listener, handler, hang_ups, nursery):
+    """Serve the connections that the kernel has established already.
+
+    The kernel would reset them when the listener closes, with the requests
+    that their clients have sent. The handler has to shield itself.
+    """
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except OSError:
+            # Nothing is queued, or no descriptor is left for it.
+            return
+        nursery.start_soon(
+            _serve_stream, handler, TcpStream(connection, hang_ups)
+        )
+
+
+def _listen(address, port):
+    listener = socket.socket(_family(address), socket.SOCK_STREAM)
+    listener.setblocking(False)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
-        await listener.bind((address, port))
+        listener.bind((address, port))
         listener.listen(BACKLOG)
     except OSError as error:
         listener.close()
--- a/tests/transports/test_tcp.py
+++ b/tests/transports/test_tcp.py
@@ -1,5 +1,7 @@
 """Tests of byte streams over TCP."""
 
+import socket
+
 import pytest
 import trio
 
@@ -66,3 +68,34 @@
             received.append(piece)
     assert b"".join(received) == content
     nursery.cancel_scope.cancel()
+
+
+async def test_connections_that_were_just_established_are_served(nursery):
+    """Guards against requests that a planned stop cuts off unanswered.
+
+    Pattern: clients connect and send while the listener is being closed;
+    the kernel has accepted them and the program has not.
+    """
+
+    async def handle(stream):
+        with trio.CancelScope(shield=True):
+            await stream.send_all(await stream.receive_some(10))
+
+    scope = trio.CancelScope()
+
+    async def serve(task_status):
+        with scope:
+            await tcp.serve("127.0.0.1", 0, handle, task_status=task_status)
+
+    _, port = await nursery.start(serve)
+    clients = []
+    for number in range(5):
+        client = socket.create_connection(("127.0.0.1", port))
+        client.sendall(b"request %d" % number)
+        clients.append(client)
+    scope.cancel()
+    for number, client in enumerate(clients):
+        client.settimeout(2.0)
+        answer = await trio.to_thread.run_sync(client.recv, 10)
+        assert answer == b"request %d" % number
+        client.close()
