--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -28,8 +28,9 @@
 # the platform asks once a second whether it is ready, and two answers in a
 # row take it out.
 LEAVING_SECONDS = 2.4
-# Part of the grace period that is kept in reserve at its end, s.
-GRACE_MARGIN_SECONDS = 0.4
+# Share of the grace period that is kept in reserve at its end: a process on a
+# slow host needs some tenths of a second to end.
+GRACE_MARGIN_SHARE = 0.1
 # Owner nodes that could not be reached are tried again this often, s.
 RECONNECT_SECONDS = 0.4
 # A node that answers a ping within this time is used again, s; nodes are some
@@ -410,10 +411,8 @@
 
     async def drain(self):
         """Stop taking work and wait until all work in progress has ended."""
-        deadline = (
-            trio.current_time()
-            + self._terms.grace_seconds
-            - GRACE_MARGIN_SECONDS
+        deadline = trio.current_time() + self._terms.grace_seconds * (
+            1 - GRACE_MARGIN_SHARE
         )
         self._is_leaving = True
         decisions.record(
