Start a node with a copy from another node

Change: a node reads one page of entries, which may be old, and pulls a first copy from the first nodes of its domain, or of another one; only the first of the domain reads everything. A node whose domain has no registered upstream pulls from another domain. The store's client decodes entries for this. Tests: two tests got the new read as a parameter, with the same assertions.

--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -1,5 +1,6 @@
 """Follows the published items, at the platform or at other nodes."""
 
+import bisect
 import functools
 import hashlib
 import heapq
@@ -30,9 +31,14 @@
 GATHER_SHARE = 0.25
 # Time between reads while nothing is published yet, s.
 EMPTY_SECONDS = 0.5
+# A node that starts waits this long until an upstream is registered, s, before
+# it reads everything: until then there is nothing to serve.
+NOBODY_SECONDS = 3.0
 # A node that does not answer, or a reader that the platform turns away, is
 # passed over for this long, s, and the next one takes its place.
 PASS_OVER_SECONDS = 2.0
+# Time in which a node that starts tries to get a first copy from others, s.
+BEGIN_SECONDS = 1.5
 # Time between attempts while the platform is unavailable, s.
 RETRY_SECONDS = 0.3
 MAXIMUM_RETRY_SECONDS = 0.7
@@ -62,6 +68,9 @@
     mirror : mirror.ItemMirror
     read_all : callable
         ``await read_all(may_be_stale)`` returns items and their revision.
+    read_nodes : callable
+        ``await read_nodes()`` returns pairs of address and failure domain of
+        some nodes with a registered upstream; they may be old.
     watch : callable
         ``await watch(position, seconds)`` returns changes and their
         revision; raises ``HistoryLostError``.
@@ -94,6 +103,7 @@
         *,
         mirror,
         read_all,
+        read_nodes,
         watch,
         on_change,
         own_address,
@@ -106,6 +116,7 @@
     ):
         self._mirror = mirror
         self._read_all = read_all
+        self._read_nodes = read_nodes
         self._watch = watch
         self._on_change = on_change
         self._own_address = own_address
@@ -137,7 +148,7 @@
         while True:
             try:
                 if not self._mirror.items_by_key:
-                    await self._read_first(failures)
+                    await self._begin(failures)
                 elif self.is_reader():
                     await self._watch_once()
                 else:
@@ -167,6 +178,10 @@
         """Address of the node that this one pulls from; None for a reader."""
         now = trio.current_time()
         ranked = self._live_domain(now)
+        if not ranked:
+            # No upstream of the own domain is registered, as at first.
+            elsewhere = self._first_elsewhere(now)
+            return elsewhere[0] if elsewhere else None
         candidates = ranked[:READER_CANDIDATES]
         reader = next(
             (
@@ -176,10 +191,11 @@
             ),
             ranked[0],
         )
-        ranked.remove(reader)
         if reader == self._own_address:
             return None
-        place = 1 + ranked.index(self._own_address)
+        ranked.remove(reader)
+        own_rank = _rank(self._own_address)
+        place = 1 + bisect.bisect_left(ranked, own_rank, key=_rank)
         parent_place = (place - 1) // MAXIMUM_CHILDREN
         return reader if parent_place == 0 else ranked[parent_place - 1]
 
@@ -196,9 +212,23 @@
             if failure_domain == self._own_domain
             and self._passed_over_until.get(address, now) <= now
         }
-        addresses.add(self._own_address)
         return sorted(addresses, key=_rank)
 
+    def _first_elsewhere(self, now):
+        """Return those of the first nodes of other domains that answer."""
+        addresses = {
+            address
+            for address, failure_domain in self._peers_of()
+            if failure_domain != self._own_domain
+        }
+        return [
+            address
+            for address in heapq.nsmallest(
+                READER_CANDIDATES, addresses, key=_rank
+            )
+            if self._passed_over_until.get(address, now) <= now
+        ]
+
     def _pass_over(self, address):
         until = trio.current_time() + PASS_OVER_SECONDS
         self._passed_over_until[address] = until
@@ -211,16 +241,43 @@
             # Nodes that wait here for news are told to go elsewhere.
             self._wake_pulls()
 
-    async def _read_first(self, failures):
-        """Learn who the other nodes are.
+    async def _begin(self, failures):
+        """Get the first copy, from another node if there is one.
 
-        A read that may be some seconds old costs a tenth of another. The
+        A read of some entries, which may be old, names nodes to pull from. A
+        node that finds none reads everything, which may be old as well: the
         mirror counts as current only after a watch or a pull.
         """
+        until = trio.current_time() + NOBODY_SECONDS
+        nodes = []
+        while not nodes and not failures and trio.current_time() < until:
+            self.call_count += 1
+            nodes = await self._read_nodes()
+            self._note_available()
+            if not nodes:
+                await trio.sleep(EMPTY_SECONDS)
+        with trio.move_on_after(BEGIN_SECONDS):
+            for address in self._first_parents(nodes):
+                if await self._try_pull(address, 0.0):
+                    return
         await self._read_whole(may_be_stale=not failures)
         if not self._mirror.items_by_key:
             await trio.sleep(EMPTY_SECONDS)
 
+    def _first_parents(self, nodes):
+        """Return the nodes to ask for a first copy, of the own domain first.
+
+        The first of the own domain reads the platform itself.
+        """
+        own, others = set(), set()
+        for address, failure_domain in nodes:
+            is_own = failure_domain == self._own_domain
+            (own if is_own else others).add(address)
+        ranked = sorted(own, key=_rank) or sorted(others, key=_rank)
+        if self._own_address in ranked:
+            ranked = ranked[: ranked.index(self._own_address)]
+        return ranked[:READER_CANDIDATES]
+
     async def _read_whole(self, may_be_stale=False):
         self.call_count += 1
         items, position = await self._read_all(may_be_stale)
@@ -259,8 +316,14 @@
     async def _pull_from_parent(self):
         wait = PULL_WAIT_SECONDS if self.is_current else 0.0
         address = self.parent
+        if not await self._try_pull(address, wait):
+            if self.parent == address:
+                await trio.sleep(RETRY_SECONDS)
+
+    async def _try_pull(self, address, wait_seconds):
+        """Pull from a node; pass it over if that fails."""
         try:
-            await self.pull(address, wait)
+            await self.pull(address, wait_seconds)
         except _PULL_ERRORS as error:
             if isinstance(error, errors.PlatformUnavailableError):
                 self._turn_away(address)
@@ -273,8 +336,8 @@
                 detail=error.detail,
                 parent=self.parent,
             )
-            if self.parent == address:
-                await trio.sleep(RETRY_SECONDS)
+            return False
+        return True
 
     async def pull(self, address, wait_seconds):
         """Ask a node for what is newer than the own revision.
--- a/shallotbridge/platform/program.py
+++ b/shallotbridge/platform/program.py
@@ -79,6 +79,7 @@
         ready_path=names.READY_PATH,
         network=network,
         read_all=client.read_all,
+        read_nodes=client.read_nodes,
         watch=client.watch,
         decode_item=items.decode_item,
         random=random.Random(),
--- a/shallotbridge/platform/store.py
+++ b/shallotbridge/platform/store.py
@@ -9,6 +9,7 @@
 
 from .._generated import link
 from ..core import errors
+from . import items
 from . import names
 from ..traffic import upstream_client
 
@@ -72,7 +73,7 @@
         ------
         errors.PlatformUnavailableError
         """
-        items = []
+        found = []
         position = None
         after = ""
         stale_ok = "1" if may_be_stale else ""
@@ -85,11 +86,43 @@
             )
             if position is None:
                 position = page.at
-            items.extend(_published(item) for item in page.items)
+            found.extend(_published(item) for item in page.items)
             if not page.has_more or not page.items:
-                return items, position
+                return found, position
             after = page.items[-1].key
 
+    async def read_nodes(self):
+        """Return where some upstreams are registered.
+
+        One page, which may be some seconds old, costs a tenth of a read.
+
+        Returns
+        -------
+        list of (str, str)
+            Pairs of address and failure domain.
+
+        Raises
+        ------
+        errors.PlatformUnavailableError
+        """
+        page = await self._get(
+            "/v1/kv-range",
+            {"stale_ok": "1"},
+            _Range,
+            ANSWER_SECONDS,
+            "servers/",
+        )
+        upstreams = []
+        for item in page.items:
+            try:
+                upstreams.append(
+                    items.decode_item(item.key, _published(item).value)
+                )
+            except errors.MalformedEntryError:
+                # The mirror reports entries that cannot be read.
+                continue
+        return [(one.address, one.failure_domain) for one in upstreams]
+
     async def watch(self, position, seconds):
         """Return the changes after a revision, and the newest revision.
 
@@ -115,10 +148,10 @@
         )
         return [_published(item) for item in answer.events], answer.at
 
-    async def _get(self, path, query, answer_type, seconds):
+    async def _get(self, path, query, answer_type, seconds, prefix=""):
         parameters = {name: text for name, text in query.items() if text}
         # The empty prefix names all items; one watch covers everything.
-        target = f"{path}?path_prefix="
+        target = f"{path}?path_prefix={prefix}"
         if parameters:
             target += "&" + urllib.parse.urlencode(parameters)
         request = upstream_client.make_request(
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -82,7 +82,7 @@
     names : model.HeaderNames
     ready_path : str
     network : transports.network.Network
-    read_all, watch : callable
+    read_all, read_nodes, watch : callable
         See ``follower.Follower``.
     decode_item : callable
         See ``views.ViewBuilder``.
@@ -99,6 +99,7 @@
         ready_path,
         network,
         read_all,
+        read_nodes,
         watch,
         decode_item,
         random,
@@ -128,6 +129,7 @@
         self._follower = follower.Follower(
             mirror=self._mirror,
             read_all=read_all,
+            read_nodes=read_nodes,
             watch=watch,
             on_change=self._update_view,
             own_address=own_host.upstream_address,
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -50,11 +50,18 @@
         self._peers.on_ping(self._address)
 
 
-def _follower(number, peers, *, members, watch=None, read_all=None):
+def _follower(
+    number, peers, *, members, watch=None, read_all=None, read_nodes=None
+):
     lines = []
+
+    async def read_no_nodes():
+        return []
+
     made = follower.Follower(
         mirror=mirror.ItemMirror(),
         read_all=read_all,
+        read_nodes=read_nodes or read_no_nodes,
         watch=watch,
         on_change=lambda: None,
         own_address=f"10.0.0.{number}",
@@ -274,8 +281,16 @@
         await trio.sleep(0.05)
         return [_item("a", 5, b"new")], 5
 
+    async def read_nodes():
+        return [("10.0.0.1", "a")]
+
     made, lines = _follower(
-        1, _Peers(), members=(1,), watch=watch, read_all=read_all
+        1,
+        _Peers(),
+        members=(1,),
+        watch=watch,
+        read_all=read_all,
+        read_nodes=read_nodes,
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(made.run)
@@ -360,7 +375,12 @@
 
     first, _ = _follower(1, peers, members=(1, 2))
     second, lines = _follower(
-        2, peers, members=(1, 2), watch=unavailable, read_all=unavailable
+        2,
+        peers,
+        members=(1, 2),
+        watch=unavailable,
+        read_all=unavailable,
+        read_nodes=unavailable,
     )
     _make_current(first, [_item("a", 7)], 7)
     async with trio.open_nursery() as nursery:
@@ -430,3 +450,77 @@
         await one.run()
     assert not faults
     assert one._mirror.position >= 8
+
+
+async def test_nodes_that_start_together_read_little(autojump_clock):
+    """Guards against a mass restart in which every node reads everything.
+
+    Pattern: 60 nodes of two domains start within 0.3 s; their upstreams are
+    registered within two seconds. All are current soon after the last one.
+    At most one in six reads all items, as one that ranks first among those
+    that are registered so far; the others only ask who is there.
+    """
+    peers = _Peers()
+    platform = _Platform(change_seconds=1.0)
+    reads = collections.Counter()
+    chance = random.Random(4)
+    registered_at = {
+        number: 0.5 + 1.5 * chance.random() for number in range(1, 61)
+    }
+
+    def domain_of(number):
+        return "ab"[number % 2]
+
+    def registered():
+        now = trio.current_time()
+        return [
+            (f"10.0.0.{number}", domain_of(number))
+            for number, at in registered_at.items()
+            if at <= now
+        ]
+
+    def make(number):
+        mirrored = []
+
+        async def read_all(may_be_stale):
+            reads["all"] += 1
+            mirrored[:] = registered()
+            return [_item("a", platform.position)], platform.position
+
+        async def read_nodes():
+            reads["nodes"] += 1
+            return registered()
+
+        made = follower.Follower(
+            mirror=mirror.ItemMirror(),
+            read_all=read_all,
+            read_nodes=read_nodes,
+            watch=platform.watch_of(number),
+            on_change=lambda: mirrored.__setitem__(slice(None), registered()),
+            own_address=f"10.0.0.{number}",
+            own_domain=domain_of(number),
+            peers_of=lambda: list(mirrored),
+            links=peers,
+            apply_seconds=3.0,
+            random=random.Random(number),
+            record=lambda action, **fields: None,
+        )
+        peers.followers_by_address[f"10.0.0.{number}"] = made
+        return made
+
+    async def start(number):
+        await trio.sleep(0.3 * chance.random())
+        made.append(make(number))
+        await made[-1].run()
+
+    made = []
+    with trio.move_on_after(10.0):
+        async with trio.open_nursery() as nursery:
+            for number in registered_at:
+                nursery.start_soon(start, number)
+            await trio.sleep(3.0)
+            assert all(one.is_current for one in made)
+    assert reads["all"] <= 60 / 6
+    assert reads["nodes"] <= 3 * 60
+    # Two readers, and a call for each change and each wait.
+    assert platform.calls.total() <= 3 * 2 * 10
--- a/tests/runtime/test_node.py
+++ b/tests/runtime/test_node.py
@@ -124,6 +124,7 @@
             ready_path=names.READY_PATH,
             network=tcp.tcp_network(),
             read_all=client.read_all,
+            read_nodes=client.read_nodes,
             watch=client.watch,
             decode_item=items.decode_item,
             random=random.Random(number),
