--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -15,13 +15,13 @@
 from ..core import errors
 from ..core import supervision
 
-# One node of a failure domain watches the platform. The others pull from it in
-# a tree with this many children a node: a changed configuration of 2,300 routes
-# takes 0.03 s for each child on a link of 10 Mbit/s. What the reader of a domain
-# misses, those of the other domains bring by the pings.
+# One node of a failure domain watches the platform. The others pull from it
+# in a tree with this many children a node: a changed configuration of 2,300
+# routes takes 0.03 s for each child on a link of 10 Mbit/s. What the reader of
+# a domain misses, those of the other domains bring by the pings.
 MAXIMUM_CHILDREN = 8
-# Nodes of a domain that take the reader's place when the platform turns it away;
-# more would only load a platform that is down.
+# Nodes of a domain that may read, in their order, when the platform turns the
+# first away; more would only load a platform that is down.
 READER_CANDIDATES = 3
 # Time that a watch waits at the platform for news, s. A lost answer is
 # noticed after it, and each watch costs a call.
--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -46,8 +46,8 @@
 # A service that fails this share of its requests gets no repeats: they would
 # fail too, and load what it calls.
 WIDE_FAILURE_SHARE = 0.2
-# A node that has just started has its first view after some tenths of a second;
-# until this long after its start, s, it keeps requests until then.
+# A node that has just started has its first view after some tenths of a
+# second; until this long after its start, s, it keeps requests until then.
 FIRST_VIEW_SECONDS = 2.0
 # Share of the time until its deadline that such a request is kept at most.
 FIRST_VIEW_SHARE = 0.3
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -20,8 +20,8 @@
 # Waiting requests are checked this often for those that will not be reached
 # in time, s.
 SWEEP_SECONDS = 0.02
-# An upstream is probed this often, s, unless requests tell the same; more often
-# while it does not answer.
+# An upstream is probed this often, s, unless requests tell the same; more
+# often while it does not answer.
 PROBE_SECONDS = 1.0
 PROBE_SECONDS_WHILE_CLOSED = 0.15
 # A probe waits for a slot like a request, s.
--- a/shallotbridge/traffic/selection.py
+++ b/shallotbridge/traffic/selection.py
@@ -35,9 +35,9 @@
 # What a request and its answer carry out of the own failure domain has to gain
 # this much more, s for each MB: the links between domains are dear.
 OTHER_DOMAIN_SECONDS_PER_MB = 5.0
-# Upstreams that a node uses: all of a small service, and of a large one a part,
-# mostly of the own failure domain. Connections of a node and the time of a
-# choice then do not grow with the fleet.
+# Upstreams that a node uses: all of a small service, and of a large one a
+# part, mostly of the own failure domain. Connections of a node and the time of
+# a choice then do not grow with the fleet.
 NEAR_OWN_DOMAIN = 8
 NEAR_OTHER_DOMAINS = 6
 # When none of them is expected to have a slot within this time, s, some others
