Take no domain for cut off while one of its nodes is heard

Cause: two silent nodes made a node avoid all others of their domain that it had not heard of for 0.15 s. Change: a node of the domain that was heard within 0.15 s contradicts the cut. Tests: test_nodes_that_were_heard_of_stay_in_use expected that the unheard fourth node is avoided; it is replaced by one that expects nobody, and all as soon as nobody is heard.

--- a/shallotbridge/peers/silence.py
+++ b/shallotbridge/peers/silence.py
@@ -6,8 +6,8 @@
 # number from which the domain as a whole is doubted.
 MEMORY_SECONDS = 1.0
 SILENT_NODES = 2
-# Nodes that were heard of within this time stay in use, s. A node that
-# requests are sent to is heard of more often.
+# A domain of which any node was heard within this time, s, is not cut off. A
+# node is doubted only after a longer silence.
 HEARD_SECONDS = 0.15
 
 
@@ -66,9 +66,12 @@
         for other, other_domain in domains_by_address.items():
             if other_domain != domain:
                 continue
+            if has_heard_since(other, now - HEARD_SECONDS):
+                # Nothing passes into or out of a domain that is cut off.
+                return []
             if now - silent_at.get(other, -math.inf) < MEMORY_SECONDS:
                 silent += 1
-            elif not has_heard_since(other, now - HEARD_SECONDS):
+            else:
                 quiet.append(other)
         return quiet if silent >= SILENT_NODES else []
 
