--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -149,10 +149,10 @@
             try:
                 if not self._mirror.items_by_key:
                     await self._begin(failures)
-                elif self.is_reader():
+                elif (parent := self.parent) is None:
                     await self._watch_once()
                 else:
-                    await self._pull_from_parent()
+                    await self._pull_from_parent(parent)
             except errors.HistoryLostError:
                 await self._read_whole_again()
             except errors.PlatformUnavailableError as error:
@@ -328,9 +328,8 @@
             self._notify()
             await trio.sleep(self._gather_seconds)
 
-    async def _pull_from_parent(self):
+    async def _pull_from_parent(self, address):
         wait = PULL_WAIT_SECONDS if self.is_current else 0.0
-        address = self.parent
         if not await self._try_pull(address, wait):
             if self.parent == address:
                 await trio.sleep(RETRY_SECONDS)
--- a/shallotbridge/distribution/views.py
+++ b/shallotbridge/distribution/views.py
@@ -85,26 +85,28 @@
         try:
             content = self._decode(item.key, item.value)
         except errors.DistributionError as error:
-            self._record(
-                "item_rejected",
-                key=item.key,
-                revision=item.revision,
-                code=error.code,
-                detail=error.detail,
-            )
-        except Exception as error:
+            self._record_rejected(item, error)
+        except Exception as fault:
             # One item must not keep all others from being used.
             eliot.write_traceback()
-            self._record(
-                "item_rejected",
-                key=item.key,
-                revision=item.revision,
-                code=errors.MalformedEntryError.code,
-                detail=f"a fault of the decoder: {error!r}",
+            self._record_rejected(
+                item,
+                errors.MalformedEntryError(
+                    f"a fault of the decoder: {fault!r}"
+                ),
             )
         self._decoded_by_key[item.key] = (item.revision, content)
         return content
 
+    def _record_rejected(self, item, error):
+        self._record(
+            "item_rejected",
+            key=item.key,
+            revision=item.revision,
+            code=error.code,
+            detail=error.detail,
+        )
+
     def _newer(self, known, found):
         """Return the configuration that is in force; it never goes back."""
         if known is not None and found.version <= known.version:
--- a/shallotbridge/peers/links.py
+++ b/shallotbridge/peers/links.py
@@ -94,11 +94,6 @@
         self._last_received = 0.0
         self._last_used = 0.0
 
-    @property
-    def is_connected(self):
-        """Whether the connection is open."""
-        return self._stream is not None
-
     @property
     def is_answering(self):
         """Whether the connection is open and the peer not silent on it."""
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -373,12 +373,9 @@
                     )
                 await nursery.start(self._serve_clients)
                 await nursery.start(self._owner.run_tasks)
-                for task in (
-                    self._entry.run_tasks,
-                    self._follower.run,
-                    self._reconnect,
-                ):
+                for task in (self._entry.run_tasks, self._reconnect):
                     nursery.start_soon(supervision.keep_running, task)
+                nursery.start_soon(self._follower.run)
                 decisions.record(
                     "node_started",
                     chosen=terms.own_host.name,
--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -245,7 +245,7 @@
                 failed_answer = reply
             if unknown_error is not None and not route.is_idempotent:
                 break
-            if not self._may_repeat(call, budget.try_spend):
+            if not self._may_repeat(call):
                 break
         if failed_answer is not None:
             return self._success(call, failed_answer)
@@ -281,14 +281,10 @@
         end = trio.current_time() + wait + usual * admission.ON_TIME_SHARE
         return end <= call.started_at + call.route.objective_seconds
 
-    def _may_repeat(self, call, ask_budget):
+    def _may_repeat(self, call):
         """Tell whether one more upstream may get the request.
 
-        Parameters
-        ----------
-        call : call.Call
-        ask_budget : callable
-            ``try_spend`` of the service's budget.
+        If so, the repeat is taken out of the service's budget.
         """
         now = trio.current_time()
         usual = self._selector.expected_seconds(call.route)
@@ -296,7 +292,9 @@
             self._selector.failure_share(call.service) < WIDE_FAILURE_SHARE
             and call.arrivals < call.route.maximum_attempts
             and now + usual * REPEAT_SHARE < call.deadline_at
-            and ask_budget(now, len(self._read_view().upstreams_by_id))
+            and self._budget_of(call.service).try_spend(
+                now, len(self._read_view().upstreams_by_id)
+            )
         )
 
     def _slow_at(self, call, now):
@@ -321,7 +319,7 @@
             self._choose(call, trio.current_time())
         except errors.NoUpstreamError:
             return False
-        return self._may_repeat(call, self._budget_of(call.service).try_spend)
+        return self._may_repeat(call)
 
     def _choose(self, call, now):
         return self._selector.choose(
@@ -471,7 +469,7 @@
             is_idempotent=call.route.is_idempotent,
             expected_ms=self._selector.expected_seconds(call.route) * 1000,
             sent_at=now,
-            maximum_wait_ms=self._maximum_wait(call) * 1000,
+            maximum_wait_ms=self._acceptable_wait(call) * 1000,
         )
         end_at = call.deadline_at + REPLY_MARGIN_SECONDS
         call.arrivals += 1
@@ -488,7 +486,7 @@
             f"no reply from the owner node at {upstream.address}"
         )
 
-    def _maximum_wait(self, call):
+    def _acceptable_wait(self, call):
         """Return how long the next offer may wait for a slot, seconds."""
         if len(call.offers) > self._maximum_offers(call) - PATIENT_OFFERS:
             return math.inf
