Log how old the view was at each decision, and copies that differ

Change: route and run state the revision and the age of the copy that they were decided from, run the upstream that was asked for and the one that is registered; upstream_changed and upstream_removed the revision and the upstream's own report number; upstream_kept, items_watched and items_read are new.

--- a/shallotbridge/_generated/link.py
+++ b/shallotbridge/_generated/link.py
@@ -76,6 +76,8 @@
     is_open: bool
     # revision that the sender has
     position: int
+    # of the sender's copy at that revision; 0: not told
+    digest: int = 0
 
 
 class Answer(
@@ -146,6 +148,8 @@
     position: int
     # the sender's clock, s
     sent_at: float
+    # of the sender's copy at that revision; 0: not told
+    digest: int = 0
 
 
 class Pong(
@@ -210,3 +214,7 @@
     items: tuple[PublishedItem, ...]
     # the platform turned the sender away; another node is to read
     is_turned_away: bool = False
+    # of the sender's copy at that revision; 0: not told
+    digest: int = 0
+    # time since that copy was known to be complete
+    age_ms: float = 0.0
--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -14,6 +14,7 @@
 from ..core import decisions
 from ..core import errors
 from ..core import supervision
+from . import mirror as mirrors
 
 # One node of a failure domain watches the platform. The others pull from it
 # in a tree with this many children a node: a changed configuration of 2,300
@@ -53,6 +54,8 @@
 # to another reader, which covers one that lost the platform unnoticed.
 PULL_WAIT_SECONDS = 1.0
 PULL_TIMEOUT_SECONDS = 1.5
+# Time between two lines about peers with other contents, s.
+DIFFERENCE_SECONDS = 1.0
 _PULL_ERRORS = (
     errors.CallError,
     errors.PeerUnavailableError,
@@ -134,6 +137,8 @@
         self._turned_away_until = {}
         self.is_current = False
         self._became_current = trio.Event()
+        self._complete_at = -math.inf
+        self._difference_due_at = -math.inf
         self.unavailable_at = -math.inf
         self.call_count = 0
 
@@ -143,6 +148,14 @@
             for task in (self._follow, self._catch_up, self._gossip):
                 nursery.start_soon(supervision.keep_running, task)
 
+    def copy_state(self):
+        """Return the ``mirror.CopyState`` of this node."""
+        return mirrors.CopyState(
+            position=self._mirror.position,
+            digest=self._mirror.digest,
+            age=trio.current_time() - self._complete_at,
+        )
+
     async def _follow(self):
         failures = 0
         while True:
@@ -295,11 +308,22 @@
 
     async def _read_whole(self, may_be_stale=False):
         self.call_count += 1
+        began = trio.current_time()
+        previous = self._mirror.position
         items, position = await self._read_all(may_be_stale)
         self._note_available()
         self._mirror.replace(items, position)
         if items and not may_be_stale:
+            self._complete_at = began
             self._set_current()
+        self._record(
+            "items_read",
+            position=position,
+            previous=previous,
+            items=len(items),
+            may_be_stale=may_be_stale,
+            seconds=round(trio.current_time() - began, 3),
+        )
         self._notify()
 
     def _set_current(self):
@@ -318,12 +342,21 @@
 
     async def _watch_once(self):
         self.call_count += 1
+        previous = self._mirror.position
         items, position = await self._watch(
-            self._mirror.position, WATCH_SECONDS if self.is_current else 0.0
+            previous, WATCH_SECONDS if self.is_current else 0.0
         )
         self._note_available()
+        self._complete_at = trio.current_time()
         self._set_current()
         if items:
+            self._record(
+                "items_watched",
+                position=position,
+                previous=previous,
+                items=len(items),
+                bytes=sum(len(item.value or b"") for item in items),
+            )
             self._mirror.apply(items, position)
             self._notify()
             await trio.sleep(self._gather_seconds)
@@ -400,7 +433,12 @@
                 f"the node at {address} is not up to date itself"
             )
         self._set_current()
+        if reply.position >= self._mirror.position:
+            self._complete_at = max(
+                self._complete_at, trio.current_time() - reply.age_ms / 1000
+            )
         if reply.position <= self._mirror.position:
+            self._compare(address, reply.position, reply.digest)
             return
         self._record(
             "items_pulled",
@@ -415,8 +453,23 @@
             self._mirror.replace(items, reply.position)
         else:
             self._mirror.apply(items, reply.position)
+        self._compare(address, reply.position, reply.digest)
         self._notify()
 
+    def _compare(self, address, position, digest):
+        """Report a node whose copy of the same revision differs."""
+        state = self.copy_state()
+        if digest and position == state.position and digest != state.digest:
+            now = trio.current_time()
+            if now >= self._difference_due_at:
+                self._difference_due_at = now + DIFFERENCE_SECONDS
+                self._record(
+                    "copies_differ",
+                    peer=address,
+                    position=position,
+                    items=len(self._mirror.items_by_key),
+                )
+
     async def answer_pull(self, pull):
         """Return the ``link.Items`` that answer another node's pull."""
         if not await self._wait_current():
@@ -436,15 +489,17 @@
                 items=(),
                 is_turned_away=True,
             )
-        position = self._mirror.position
+        state = self.copy_state()
         is_whole, items = False, ()
-        if position > pull.position:
+        if state.position > pull.position:
             is_whole, items = self._mirror.changes_since(pull.position)
         return link.Items(
             call_id=pull.call_id,
-            position=position,
+            position=state.position,
             is_whole=is_whole,
             items=tuple(_compressed(item) for item in items),
+            digest=state.digest,
+            age_ms=state.age * 1000,
         )
 
     def _is_turned_away(self):
@@ -460,8 +515,9 @@
             await self.wait_current()
         return self.is_current
 
-    def on_position(self, address, position):
-        """Note the revision of another node."""
+    def on_position(self, address, position, digest):
+        """Note the revision of another node and the digest of its copy."""
+        self._compare(address, position, digest)
         if position > self._mirror.position and (
             self._ahead is None or position > self._ahead[1]
         ):
--- a/shallotbridge/distribution/mirror.py
+++ b/shallotbridge/distribution/mirror.py
@@ -1,6 +1,10 @@
 """A copy of the platform's published items, as of one revision."""
 
 import collections
+import dataclasses
+import functools
+import hashlib
+import math
 
 from .._generated import link
 
@@ -9,6 +13,34 @@
 MAXIMUM_DELETIONS = 2000
 
 
+_DIGEST_BYTES = 7
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CopyState:
+    """What a node tells of its copy.
+
+    Attributes
+    ----------
+    position : int
+        Revision up to which the copy is complete; 0 before the first read.
+    digest : int
+        The same for all copies with the same keys and revisions.
+    age : float
+        Time since the copy was known to be complete, seconds; infinite
+        before it was.
+    """
+
+    position: int
+    digest: int
+    age: float
+
+    @property
+    def age_ms(self):
+        """Age in whole ms for the log, None before the copy was complete."""
+        return None if math.isinf(self.age) else round(self.age * 1000)
+
+
 class ItemMirror:
     """The published items and the newest deletions.
 
@@ -16,11 +48,14 @@
     ----------
     position : int
         Revision up to which the copy is complete; 0 before the first read.
+    digest : int
+        The same for all copies with the same keys and revisions.
     """
 
     def __init__(self):
         self.items_by_key = {}
         self.position = 0
+        self.digest = 0
         self._deletions = collections.OrderedDict()
         # Changes since an older revision than this one are not known whole.
         self._oldest = 0
@@ -61,6 +96,9 @@
         if deleted_at < item.revision and (
             known is None or known.revision < item.revision
         ):
+            if known is not None:
+                self.digest ^= _digest(item.key, known.revision)
+            self.digest ^= _digest(item.key, item.revision)
             self.items_by_key[item.key] = item
             self._deletions.pop(item.key, None)
 
@@ -68,7 +106,9 @@
         known = self.items_by_key.get(key)
         if known is not None and known.revision > revision:
             return
-        self.items_by_key.pop(key, None)
+        if known is not None:
+            self.digest ^= _digest(key, known.revision)
+            del self.items_by_key[key]
         self._deletions[key] = max(revision, self._deletions.get(key, 0))
         self._deletions.move_to_end(key)
         while len(self._deletions) > MAXIMUM_DELETIONS:
@@ -98,3 +138,10 @@
         )
         changed.sort(key=lambda item: item.revision)
         return False, changed
+
+
+@functools.lru_cache(maxsize=4096)
+def _digest(key, revision):
+    data = f"{revision} {key}".encode()
+    digest = hashlib.blake2b(data, digest_size=_DIGEST_BYTES).digest()
+    return int.from_bytes(digest, "big")
--- a/shallotbridge/distribution/views.py
+++ b/shallotbridge/distribution/views.py
@@ -38,7 +38,7 @@
         self._lapsed_by_id = {}
         self.view = model.EMPTY_VIEW
 
-    def update(self, items_by_key, *, now, outage_ended_at):
+    def update(self, items_by_key, *, now, outage_ended_at, position=0):
         """Decode what is new and put the next view in force.
 
         Parameters
@@ -48,6 +48,8 @@
         outage_ended_at : float
             When the platform was last found unavailable; entries that are
             removed soon after that may only have lapsed.
+        position : int
+            Revision up to which the items are complete, for the log.
 
         Returns
         -------
@@ -69,7 +71,7 @@
                 configuration = self._newer(configuration, content)
         self._drop_superseded(upstreams_by_id)
         again_at = self._keep_lapsed(upstreams_by_id, now, outage_ended_at)
-        self._record_changes(upstreams_by_id, domains_out)
+        self._record_changes(upstreams_by_id, domains_out, position)
         self.view = model.make_view(
             configuration=configuration,
             upstreams_by_id=upstreams_by_id,
@@ -151,7 +153,14 @@
             if upstream_id in upstreams_by_id:
                 self._lapsed_by_id.pop(upstream_id, None)
             elif now < until and not upstream.is_draining:
-                self._lapsed_by_id.setdefault(upstream_id, upstream)
+                if upstream_id not in self._lapsed_by_id:
+                    self._lapsed_by_id[upstream_id] = upstream
+                    self._record(
+                        "upstream_kept",
+                        chosen=upstream_id,
+                        for_s=round(until - now, 3),
+                        reason="its entry may only have lapsed",
+                    )
         if now >= until:
             self._lapsed_by_id.clear()
             return None
@@ -160,7 +169,7 @@
         upstreams_by_id.update(self._lapsed_by_id)
         return until
 
-    def _record_changes(self, upstreams_by_id, domains_out):
+    def _record_changes(self, upstreams_by_id, domains_out, position):
         previous = self.view
         known = previous.upstreams_by_id
         for upstream_id, upstream in upstreams_by_id.items():
@@ -173,9 +182,14 @@
                     address=upstream.address,
                     failure_domain=upstream.failure_domain,
                     is_draining=upstream.is_draining,
+                    started_ms=upstream.started_ms,
+                    report=upstream.report,
+                    position=position,
                 )
         for upstream_id in known.keys() - upstreams_by_id.keys():
-            self._record("upstream_removed", chosen=upstream_id)
+            self._record(
+                "upstream_removed", chosen=upstream_id, position=position
+            )
         if previous.domains_out != domains_out:
             self._record(
                 "domains_out",
--- a/shallotbridge/peers/links.py
+++ b/shallotbridge/peers/links.py
@@ -51,10 +51,11 @@
     port : int
     nursery : trio.Nursery
         Runs the tasks of the connection.
-    read_position : callable
-        Returns the revision that this node has.
+    read_copy : callable
+        Returns the ``mirror.CopyState`` of this node.
     on_position : callable
-        ``on_position(address, position)``: the peer has this revision.
+        ``on_position(address, position, digest)``: the peer has this
+        revision.
     on_load : callable
         ``on_load(address, load)`` with each load that the peer reports.
     on_state : callable
@@ -68,7 +69,7 @@
         address,
         port,
         nursery,
-        read_position,
+        read_copy,
         on_position,
         on_load,
         on_state,
@@ -77,7 +78,7 @@
         self._open_stream = open_stream
         self._port = port
         self._nursery = nursery
-        self._read_position = read_position
+        self._read_copy = read_copy
         self._on_position = on_position
         self._on_load = on_load
         self._on_state = on_state
@@ -245,7 +246,7 @@
             load = getattr(message, "load", None)
             if load is not None:
                 self._on_load(self.address, load)
-                self._on_position(self.address, load.position)
+                self._on_position(self.address, load.position, load.digest)
             call = self._calls_by_id.get(getattr(message, "call_id", None))
             if call is not None:
                 call.reply = message
@@ -306,7 +307,10 @@
         return not self._calls_by_id
 
     def _send_ping(self, outbox, now):
-        outbox.send(link.Ping(position=self._read_position(), sent_at=now))
+        copy = self._read_copy()
+        outbox.send(
+            link.Ping(position=copy.position, sent_at=now, digest=copy.digest)
+        )
 
     def ping(self):
         """Ask the peer for its load and revision, if it is connected."""
--- a/shallotbridge/platform/items.py
+++ b/shallotbridge/platform/items.py
@@ -28,6 +28,7 @@
 
 class _Status(msgspec.Struct):
     state: str
+    sequence: int = 0
     cold_remaining: str = "0ms"
 
 
@@ -157,6 +158,7 @@
         is_draining=entry.status.state == "draining",
         cold_seconds=durations.parse_duration(entry.status.cold_remaining),
         started_ms=entry.born,
+        report=entry.status.sequence,
     )
 
 
--- a/shallotbridge/runtime/explain.py
+++ b/shallotbridge/runtime/explain.py
@@ -9,6 +9,7 @@
 BELIEFS = frozenset(
     {
         "configuration_applied",
+        "copies_differ",
         "domains_out",
         "node_leaving",
         "node_started",
@@ -18,6 +19,7 @@
         "platform_regained",
         "upstream_changed",
         "upstream_closed",
+        "upstream_kept",
         "upstream_open",
         "upstream_removed",
     }
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -149,7 +149,7 @@
             own_host=own_host,
             names=names,
             read_view=self.read_view,
-            read_position=self._read_position,
+            read_copy=self._follower.copy_state,
             open_stream=network.open_stream,
             cold_multiplier=terms.cold_multiplier,
             cold_constant=terms.cold_constant,
@@ -158,6 +158,7 @@
             own_host=own_host,
             names=names,
             read_view=self._read_client_view,
+            read_copy=self._follower.copy_state,
             wait_view=self._follower.wait_current,
             selector=self._selector,
             splits=self._splits,
@@ -192,9 +193,6 @@
             return self._views.view
         return model.EMPTY_VIEW
 
-    def _read_position(self):
-        return self._mirror.position
-
     def _read_limits(self):
         configuration = self._views.view.configuration
         if configuration is None:
@@ -228,7 +226,7 @@
                 address=address,
                 port=self._terms.peer_port,
                 nursery=self._nursery,
-                read_position=self._read_position,
+                read_copy=self._follower.copy_state,
                 on_position=self._follower.on_position,
                 on_load=self._on_load,
                 on_state=self._on_link_state,
@@ -287,6 +285,7 @@
             self._mirror.items_by_key,
             now=now,
             outage_ended_at=self._follower.unavailable_at,
+            position=self._mirror.position,
         )
         view = self._views.view
         self._selector.on_view(view)
@@ -476,7 +475,8 @@
     def _register_metrics(self):
         gauge = self._metrics.gauge
         gauge("version", self._version)
-        gauge("position", self._read_position)
+        gauge("position", lambda: self._mirror.position)
+        gauge("view_age_seconds", lambda: self._follower.copy_state().age)
         gauge("platform_calls_total", lambda: self._follower.call_count)
         gauge("platform_available", lambda: int(self._follower.is_available))
         gauge("slots", lambda: self._owner.load().slots)
--- a/shallotbridge/traffic/call.py
+++ b/shallotbridge/traffic/call.py
@@ -22,6 +22,8 @@
         Upstreams that got it, or may have got it.
     sent_at : float
         When it was offered to the last of them.
+    sent_under : distribution.mirror.CopyState or None
+        Copy of the published items that the last choice was made from.
     maximum_wait : float
         Longest expected wait at an owner node that is worth an offer, s.
     """
@@ -40,6 +42,7 @@
         "busy",
         "arrivals",
         "sent_at",
+        "sent_under",
         "maximum_wait",
     )
 
@@ -68,6 +71,7 @@
         self.busy = set()
         self.arrivals = 0
         self.sent_at = started_at
+        self.sent_under = None
         self.maximum_wait = math.inf
 
 
--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -70,6 +70,8 @@
     names : model.HeaderNames
     read_view : callable
         Returns the ``model.MeshView`` in force.
+    read_copy : callable
+        Returns the ``mirror.CopyState`` of this node.
     wait_view : callable
         ``await wait_view()`` returns when the first view is in force.
     selector : selection.Selector
@@ -93,6 +95,7 @@
         own_host,
         names,
         read_view,
+        read_copy,
         wait_view,
         selector,
         splits,
@@ -106,6 +109,7 @@
         self._own_host = own_host
         self._names = names
         self._read_view = read_view
+        self._read_copy = read_copy
         self._wait_view = wait_view
         self._started_at = trio.current_time()
         self._selector = selector
@@ -374,6 +378,7 @@
         call.tried.add(upstream.upstream_id)
         call.offers.append(choice)
         call.sent_at = now
+        call.sent_under = self._read_copy()
         selector = self._selector
         selector.on_sent(upstream.upstream_id)
         try:
@@ -584,6 +589,8 @@
             detail=None if error is None else error.detail,
             retry_after_s=retry_after and round(retry_after, 3),
             held_ms=round((now - call.started_at) * 1000, 1),
+            position=call.sent_under and call.sent_under.position,
+            view_age_ms=call.sent_under and call.sent_under.age_ms,
         )
 
 
--- a/shallotbridge/traffic/model.py
+++ b/shallotbridge/traffic/model.py
@@ -101,6 +101,8 @@
     ----------
     started_ms : int
         Unix time of its start, ms; a restart under the same id changes it.
+    report : int
+        Number of its report, which grows until it starts again.
     cold_seconds : float
         How long it stays cold, counted from its last report.
     """
@@ -114,6 +116,7 @@
     is_draining: bool = False
     cold_seconds: float = 0.0
     started_ms: int = 0
+    report: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -56,8 +56,8 @@
     names : model.HeaderNames
     read_view : callable
         Returns the ``model.MeshView`` in force.
-    read_position : callable
-        Returns the revision that this node has, for its peers.
+    read_copy : callable
+        Returns the ``mirror.CopyState`` of this node.
     open_stream : callable
         ``await open_stream(address, port)``.
     cold_multiplier, cold_constant : float
@@ -73,7 +73,7 @@
         own_host,
         names,
         read_view,
-        read_position,
+        read_copy,
         open_stream,
         cold_multiplier,
         cold_constant,
@@ -82,7 +82,7 @@
         self._own_host = own_host
         self._names = names
         self._read_view = read_view
-        self._read_position = read_position
+        self._read_copy = read_copy
         self._cold_multiplier = cold_multiplier
         self._cold_constant = cold_constant
         self._record = record
@@ -223,12 +223,14 @@
         """Return the ``link.Load`` of this node."""
         now = trio.current_time()
         wait = self._admission.expected_wait(now)
+        copy = self._read_copy()
         return link.Load(
             slots=self._admission.slots,
             free=self._admission.slots - self.in_progress,
             wait_ms=round(wait * 1000, 1),
             is_open=self._admission.is_open,
-            position=self._read_position(),
+            position=copy.position,
+            digest=copy.digest,
         )
 
     @property
@@ -258,6 +260,7 @@
             ticket, granted = self._offer(work, now, delay)
             await self._wait_granted(ticket, granted)
             started = trio.current_time()
+            sent_under = self._read_copy()
             response = await self._send(work, ticket)
         except errors.CallError as error:
             return self._reply_error(work, error, now, started)
@@ -274,6 +277,10 @@
             status=response.status,
             in_use=self._admission.in_use,
             queued=self._admission.queued,
+            upstream=work.upstream_id,
+            registered=self._registered and self._registered.upstream_id,
+            position=sent_under.position,
+            view_age_ms=sent_under.age_ms,
         )
         return link.Answer(
             call_id=work.call_id,
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -385,7 +385,7 @@
     _make_current(first, [_item("a", 7)], 7)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(second.run)
-        second.on_position("10.0.0.1", 7)
+        second.on_position("10.0.0.1", 7, 0)
         with trio.fail_after(2.0):
             while second._mirror.position < 7:
                 await trio.sleep(0.05)
@@ -525,3 +525,33 @@
     assert reads["nodes"] <= 3 * 60
     # Two readers, and a call for each change and each wait.
     assert platform.calls.total() <= 3 * 2 * 10
+
+
+async def test_a_peer_with_other_contents_is_reported(autojump_clock):
+    """Guards against a lost change that no log line ever shows.
+
+    Pattern: two nodes with the same revision, one without a deletion.
+    """
+    peers = _Peers()
+    first, _ = _follower(1, peers, members=(1, 2))
+    second, lines = _follower(2, peers, members=(1, 2))
+    _make_current(first, [_item("a", 1)], 5)
+    _make_current(second, [_item("a", 1), _item("b", 2)], 5)
+    state = first.copy_state()
+    second.on_position("10.0.0.1", state.position, state.digest)
+    assert "copies_differ" in lines
+
+
+async def test_the_age_of_a_copy_counts_from_the_reader(autojump_clock):
+    """Guards against an old view that looks new in the log.
+
+    Pattern: a node pulls from one that last heard of the platform 0.7 s ago.
+    """
+    peers = _Peers()
+    first, _ = _follower(1, peers, members=(1, 2))
+    second, _ = _follower(2, peers, members=(1, 2))
+    _make_current(first, [_item("a", 1)], 5)
+    first._complete_at = trio.current_time()
+    await trio.sleep(0.7)
+    await second.pull("10.0.0.1", 0.0)
+    assert second.copy_state().age == pytest.approx(0.7)
--- a/tests/distribution/test_mirror.py
+++ b/tests/distribution/test_mirror.py
@@ -70,3 +70,18 @@
     assert is_whole
     behind.replace(items, restarted.position)
     assert set(behind.items_by_key) == {"kept", "new"}
+
+
+def test_equal_copies_have_equal_digests_however_they_came_about():
+    """Guards against a digest that depends on the way of a change.
+
+    Pattern: one node follows each change, another reads the whole later.
+    """
+    first = mirror.ItemMirror()
+    first.replace([_item("a", 1), _item("b", 2)], 2)
+    first.apply([_item("a", 3), _item("b", 4, None), _item("c", 5)], 5)
+    second = mirror.ItemMirror()
+    second.replace([_item("c", 5), _item("a", 3)], 5)
+    assert first.digest == second.digest
+    second.apply([_item("d", 6)], 6)
+    assert first.digest != second.digest
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -5,11 +5,13 @@
 
 from shallotbridge._generated import link
 from shallotbridge.core import errors
+from shallotbridge.distribution import mirror
 from shallotbridge.peers import frames
 from shallotbridge.peers import links
 from shallotbridge.peers import server
 from shallotbridge.transports import tcp
 
+COPY = mirror.CopyState(position=1, digest=1, age=0.0)
 LOAD = link.Load(slots=1, free=1, wait_ms=0.0, is_open=True, position=5)
 
 
@@ -65,7 +67,7 @@
             run_work=self.run_work,
             answer_pull=answer_pull,
             read_load=lambda: LOAD,
-            on_position=lambda address, position: None,
+            on_position=lambda address, position, digest: None,
         )
         self.address, self.port = await nursery.start(
             tcp.serve, "127.0.0.1", 0, peer_server.handle
@@ -75,8 +77,8 @@
             address=self.address,
             port=self.port,
             nursery=nursery,
-            read_position=lambda: 1,
-            on_position=lambda address, at: self.positions.append(at),
+            read_copy=lambda: COPY,
+            on_position=lambda address, at, digest: self.positions.append(at),
             on_load=lambda address, load: None,
             on_state=lambda address, is_up, why: self.states.append(is_up),
         )
@@ -300,8 +302,8 @@
         address="127.0.0.1",
         port=port,
         nursery=nursery,
-        read_position=lambda: 1,
-        on_position=lambda address, position: None,
+        read_copy=lambda: COPY,
+        on_position=lambda address, position, digest: None,
         on_load=lambda address, load: None,
         on_state=lambda address, is_connected, reason: None,
     )
--- a/tests/traffic/builders.py
+++ b/tests/traffic/builders.py
@@ -1,5 +1,6 @@
 """Small builders for the tests of traffic."""
 
+from shallotbridge.distribution import mirror
 from shallotbridge.traffic import model
 
 NAMES = model.HeaderNames(
@@ -12,6 +13,7 @@
     instance="x-own-instance",
     cold="x-cold",
 )
+COPY = mirror.CopyState(position=1, digest=1, age=0.0)
 OWN_HOST = model.OwnHost(
     name="node-1",
     address="10.0.0.1",
--- a/tests/traffic/test_entry.py
+++ b/tests/traffic/test_entry.py
@@ -101,6 +101,7 @@
         own_host=builders.OWN_HOST,
         names=builders.NAMES,
         read_view=read_view or (lambda: view),
+        read_copy=lambda: builders.COPY,
         wait_view=wait_view,
         selector=selector,
         splits=routing.SplitCounters(),
--- a/tests/traffic/test_owner.py
+++ b/tests/traffic/test_owner.py
@@ -92,7 +92,7 @@
             own_host=OWN_HOST,
             names=builders.NAMES,
             read_view=lambda: view,
-            read_position=lambda: 1,
+            read_copy=lambda: builders.COPY,
             open_stream=tcp.open_stream,
             cold_multiplier=1.5,
             cold_constant=5.0,
--- a/tests/traffic/test_placement.py
+++ b/tests/traffic/test_placement.py
@@ -132,6 +132,7 @@
         own_host=builders.OWN_HOST,
         names=builders.NAMES,
         read_view=lambda: view,
+        read_copy=lambda: builders.COPY,
         wait_view=None,
         selector=selector,
         splits=routing.SplitCounters(),
