Refuse work at the owner node once the entry of its upstream is gone

Cause: callers' requests reached upstreams that had left. OwnerServer refused work for an upstream that said it was draining, but ran whatever entry nodes with old views passed on once the entry was removed, as it took a missing entry for one that is not registered yet. Three of ten upstreams that leave there never say that they drain. Change: an owner that has seen its upstream registered closes when the entry goes, which also refuses what waits, and opens with the next entry. Before the first entry it runs requests as before. Measured: tests/traffic/test_owner.py::test_an_owner_refuses_work_when_the_entry_of_its_upstream_is_gone failed before (the late request got an Answer) and passes; tests of traffic and runtime pass (100). The owner is the last to decide, so one view in time is enough of the two.

--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -103,6 +103,8 @@
         self._probe_now = trio.Event()
         self._instance_id = None
         self._registered = None
+        # Id of the upstream whose entry was removed last, until the next one.
+        self._removed_id = None
         self._is_leaving = False
         self._is_up = False
         self._silent_probes = 0
@@ -138,6 +140,9 @@
                 self._instance_id = None
                 self._client.drop_idle()
                 self._probe_now.set()
+            self._removed_id = None
+        elif previous is not None:
+            self._removed_id = previous.upstream_id
         was_out = not self._admission.is_open
         self._update_open("published state")
         if was_out and self._admission.is_open:
@@ -198,6 +203,10 @@
                 return errors.OutOfServiceError(
                     f"{registered.failure_domain} is out of service"
                 )
+        elif self._removed_id is not None:
+            return errors.LeavingError(
+                f"the entry of upstream {self._removed_id} was removed"
+            )
         if not self._is_up:
             return errors.UpstreamUnreachableError(
                 "the upstream does not answer"
--- a/tests/traffic/test_owner.py
+++ b/tests/traffic/test_owner.py
@@ -6,6 +6,7 @@
 import trio
 
 from shallotbridge._generated import link
+from shallotbridge.core import errors
 from shallotbridge.core import model as messages
 from shallotbridge.traffic import model
 from shallotbridge.traffic import owner
@@ -205,3 +206,81 @@
                 reply = await server.run(work("r"))
                 assert reply.status == 200
         assert least <= upstream.probes <= most
+
+
+def _entry(**changes):
+    return builders.upstream(1, address=ADDRESS, port=PORT, slots=1, **changes)
+
+
+def _view(*upstreams):
+    return builders.view(builders.configuration(builders.route()), *upstreams)
+
+
+# Requests for an upstream that left without announcing it.
+async def test_an_owner_refuses_work_when_the_entry_of_its_upstream_is_gone():
+    """Guards against requests that entry nodes with old views pass on.
+
+    Pattern: three of ten upstreams that leave never say that they are
+    draining; their entry is removed and they go on answering.
+    """
+    async with _owner(slots=1) as (server, upstream):
+        upstream.may_answer = trio.Event()
+        async with trio.open_nursery() as nursery:
+            replies = []
+
+            async def run(request_id):
+                replies.append(await server.run(work(request_id)))
+
+            nursery.start_soon(run, "running")
+            while not upstream.requests:
+                await trio.sleep(0.005)
+            nursery.start_soon(run, "waiting")
+            while server.in_progress < 2:
+                await trio.sleep(0.005)
+            server.on_view(_view())
+            reply = await server.run(work("late"))
+            assert isinstance(reply, link.Refusal)
+            assert reply.code == errors.LeavingError.code
+            assert not reply.load.is_open
+            upstream.may_answer.set()
+        refused, answered = replies
+        assert refused.code == errors.LeavingError.code
+        assert answered.status == 200
+        assert [one.header("x-id") for one in upstream.requests] == ["running"]
+
+
+async def test_an_owner_takes_work_before_its_upstream_is_registered():
+    """Guards against refusals until the view of a node that has started.
+
+    Other nodes may know of the upstream some tenths of a second sooner.
+    """
+    async with _owner(slots=1) as (server, upstream):
+        fresh = owner.OwnerServer(
+            own_host=OWN_HOST,
+            names=builders.NAMES,
+            read_view=_view,
+            read_copy=lambda: builders.COPY,
+            open_stream=tcp.open_stream,
+            cold_multiplier=1.5,
+            cold_constant=5.0,
+            record=lambda action, **fields: None,
+        )
+        async with trio.open_nursery() as nursery:
+            await nursery.start(fresh.run_tasks)
+            fresh.on_view(_view())
+            while not fresh.load().is_open:
+                await trio.sleep(0.01)
+            reply = await fresh.run(work("early"))
+            assert reply.status == 200
+            fresh.close()
+            nursery.cancel_scope.cancel()
+
+
+async def test_an_owner_takes_work_again_when_the_entry_is_back():
+    """Guards against an upstream that stays out after an entry lapsed."""
+    async with _owner(slots=1) as (server, upstream):
+        server.on_view(_view())
+        assert not server.load().is_open
+        server.on_view(_view(_entry()))
+        reply = await server.run(work("again"))
+        assert reply.status == 200
