Keep removed upstreams as lapsed only after an outage of the platform

Cause: callers' requests went on to upstreams that had left. A node kept removed entries for 1.5 s after its own last failed call, and each further failure moved the end. The platform turned some readers away while it served the others and the upstreams that left: on such a node tried again every 0.3 to 0.7 s and kept using an upstream for as long as it was turned away. Change: entries can only lapse in an outage of two report intervals or more. It is counted from the first refusal, or from the start of a call to which nothing came back; an answer of a peer whose copy is newer than its beginning shows that the platform serves others and ends it. After a shorter one removed entries are taken as gone at once. Measured: test_an_upstream_that_leaves_while_a_watch_is_cut_is_not_kept fails with any failed call counted as an outage (before) and passes; tests of distribution and platform pass (76).

--- a/shallotbridge/core/errors.py
+++ b/shallotbridge/core/errors.py
@@ -153,9 +153,16 @@
 
 
 class PlatformUnavailableError(DistributionError):
-    """The platform did not answer, or refused the call."""
+    """The platform did not answer, or refused the call.
+
+    Attributes
+    ----------
+    is_silent : bool
+        Whether nothing came back at all.
+    """
 
     code = "SB-2007"
+    is_silent = False
 
 
 class PlatformRateError(PlatformUnavailableError):
--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -40,6 +40,10 @@
 PASS_OVER_SECONDS = 2.0
 # Time in which a node that starts tries to get a first copy from others, s.
 BEGIN_SECONDS = 2.0
+# An entry lapses after three reports that did not come. The last one may be
+# as old as the time between two, so no entry lapses in an outage that is
+# shorter than this number of reports.
+LAPSE_REPORTS = 2
 # Time between attempts while the platform is unavailable, s.
 RETRY_SECONDS = 0.3
 MAXIMUM_RETRY_SECONDS = 0.7
@@ -88,6 +92,8 @@
         ``links(address)`` returns the ``PeerLink`` to a node.
     apply_seconds : float
         Time after which a published change has to be in force.
+    report_seconds : float
+        Time between the reports of an upstream to the platform.
     random : random.Random
     record : callable
         ``record(action, **fields)`` writes the decision log.
@@ -97,8 +103,6 @@
     is_current : bool
         Whether the mirror was up to date once since the start: a first read
         may be some seconds old.
-    unavailable_at : float
-        When the platform was last found unavailable, on trio's clock.
     """
 
     def __init__(
@@ -114,6 +118,7 @@
         peers_of,
         links,
         apply_seconds,
+        report_seconds,
         random,
         record=decisions.record,
     ):
@@ -127,6 +132,7 @@
         self._peers_of = peers_of
         self._links = links
         self._gather_seconds = apply_seconds * GATHER_SHARE
+        self._lapse_seconds = report_seconds * LAPSE_REPORTS
         self._random = random
         self._record = record
         self._is_available = True
@@ -139,7 +145,8 @@
         self._became_current = trio.Event()
         self._complete_at = -math.inf
         self._difference_due_at = -math.inf
-        self.unavailable_at = -math.inf
+        self._outage_began_at = None
+        self._outage_ended_at = -math.inf
         self.call_count = 0
 
     async def run(self):
@@ -159,6 +166,7 @@
     async def _follow(self):
         failures = 0
         while True:
+            began = trio.current_time()
             try:
                 if not self._mirror.items_by_key:
                     await self._begin(failures)
@@ -170,7 +178,7 @@
                 await self._read_whole_again()
             except errors.PlatformUnavailableError as error:
                 failures += 1
-                self._note_unavailable(error)
+                self._note_unavailable(error, began)
                 self._turn_away(self._own_address)
                 if not self.is_reader():
                     continue
@@ -334,10 +342,11 @@
 
     async def _read_whole_again(self):
         self._record("history_lost", position=self._mirror.position)
+        began = trio.current_time()
         try:
             await self._read_whole()
         except errors.PlatformUnavailableError as error:
-            self._note_unavailable(error)
+            self._note_unavailable(error, began)
             await trio.sleep(RETRY_SECONDS)
 
     async def _watch_once(self):
@@ -433,10 +442,15 @@
                 f"the node at {address} is not up to date itself"
             )
         self._set_current()
+        complete_at = trio.current_time() - reply.age_ms / 1000
+        if (
+            self._outage_began_at is not None
+            and complete_at > self._outage_began_at
+        ):
+            # The platform answers others, so nothing lapses.
+            self._outage_began_at = None
         if reply.position >= self._mirror.position:
-            self._complete_at = max(
-                self._complete_at, trio.current_time() - reply.age_ms / 1000
-            )
+            self._complete_at = max(self._complete_at, complete_at)
         if reply.position <= self._mirror.position:
             self._compare(address, reply.position, reply.digest)
             return
@@ -581,8 +595,11 @@
         self._changed.set()
         self._changed = trio.Event()
 
-    def _note_unavailable(self, error):
-        self.unavailable_at = trio.current_time()
+    def _note_unavailable(self, error, began):
+        """Note that a call failed that began at a time."""
+        if self._outage_began_at is None:
+            now = trio.current_time()
+            self._outage_began_at = began if error.is_silent else now
         if self._is_available:
             self._is_available = False
             self._record(
@@ -593,11 +610,24 @@
             )
 
     def _note_available(self):
+        self._outage_ended_at = self.outage_ended_at
+        self._outage_began_at = None
         if not self._is_available:
             self._is_available = True
-            self.unavailable_at = trio.current_time()
             self._record("platform_regained", position=self._mirror.position)
 
+    @property
+    def outage_ended_at(self):
+        """When the last outage ended in which entries may have lapsed.
+
+        The time is on trio's clock; it is now while such an outage lasts.
+        """
+        now = trio.current_time()
+        began_at = self._outage_began_at
+        if began_at is not None and now - began_at >= self._lapse_seconds:
+            return now
+        return self._outage_ended_at
+
     @property
     def is_available(self):
         """Whether the last call to the platform was answered."""
--- a/shallotbridge/distribution/views.py
+++ b/shallotbridge/distribution/views.py
@@ -46,8 +46,8 @@
         items_by_key : mapping of str to link.PublishedItem
         now : float
         outage_ended_at : float
-            When the platform was last found unavailable; entries that are
-            removed soon after that may only have lapsed.
+            End of the last outage of the platform in which entries may have
+            lapsed; those that are removed soon after that may be back.
         position : int
             Revision up to which the items are complete, for the log.
 
--- a/shallotbridge/platform/settings.py
+++ b/shallotbridge/platform/settings.py
@@ -78,6 +78,9 @@
         "apply": reader.convert(
             "terms.bounds.config_apply", durations.parse_duration
         ),
+        "report": reader.convert(
+            "platform.heartbeat_interval", durations.parse_duration
+        ),
         "grace": reader.convert(
             "terms.bounds.grace_period", durations.parse_duration
         ),
@@ -110,6 +113,7 @@
         cold_multiplier=values["cold_multiplier"],
         cold_constant=values["cold_slack"],
         apply_seconds=values["apply"],
+        report_seconds=values["report"],
         grace_seconds=values["grace"],
     )
 
--- a/shallotbridge/platform/store.py
+++ b/shallotbridge/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import errno
 import urllib.parse
 
 import msgspec
@@ -162,9 +163,11 @@
                 request, deadline_at=trio.current_time() + seconds
             )
         except errors.CallError as error:
-            raise errors.PlatformUnavailableError(
+            unavailable = errors.PlatformUnavailableError(
                 f"GET {path}: {error.detail}"
-            ) from error
+            )
+            unavailable.is_silent = _is_silence(error)
+            raise unavailable from error
         if response.status == 410:
             raise errors.HistoryLostError(f"GET {target}: 410")
         if response.status == 429:
@@ -185,6 +188,16 @@
         self._client.close()
 
 
+def _is_silence(error):
+    """Tell whether a call failed because nothing came back."""
+    if isinstance(error, errors.DeadlineAfterSendError):
+        return True
+    # The kernel's own probes of a connection end with this number.
+    broken = error.__cause__
+    cause = None if broken is None else broken.__cause__
+    return isinstance(cause, OSError) and cause.errno == errno.ETIMEDOUT
+
+
 def _published(item):
     """Return an item in the project's form; bytes that are no base64 stay."""
     if item.deleted or item.value is None:
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -55,6 +55,8 @@
         multiplier and the constant besides, from all nodes together.
     apply_seconds : float
         Time after which a published change has to be in force.
+    report_seconds : float
+        Time between the reports of an upstream to the platform.
     grace_seconds : float
         Time between the request to stop and the end by force.
     """
@@ -70,6 +72,7 @@
     cold_multiplier: float
     cold_constant: float
     apply_seconds: float
+    report_seconds: float
     grace_seconds: float
 
 
@@ -137,6 +140,7 @@
             peers_of=self._peers,
             links=self._link,
             apply_seconds=terms.apply_seconds,
+            report_seconds=terms.report_seconds,
             random=random,
         )
         self._selector = selection.Selector(
@@ -284,7 +288,7 @@
         again_at = self._views.update(
             self._mirror.items_by_key,
             now=now,
-            outage_ended_at=self._follower.unavailable_at,
+            outage_ended_at=self._follower.outage_ended_at,
             position=self._mirror.position,
         )
         view = self._views.view
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -12,6 +12,9 @@
 from shallotbridge.core import errors
 from shallotbridge.distribution import follower
 from shallotbridge.distribution import mirror
+from shallotbridge.distribution import views
+
+from tests.traffic import builders
 
 
 class _Peers:
@@ -69,6 +72,7 @@
         peers_of=lambda: [(f"10.0.0.{one}", "a") for one in members],
         links=peers,
         apply_seconds=2.0,
+        report_seconds=1.5,
         random=random.Random(number),
         record=lambda action, **fields: lines.append(action),
     )
@@ -357,10 +361,10 @@
     first, _ = _follower(1, peers, members=(1, 2))
     second, _ = _follower(2, peers, members=(1, 2))
     _make_current(first, [_item("a", 1)], 1)
-    first._note_unavailable(errors.PlatformUnavailableError("cut off"))
+    first._note_unavailable(errors.PlatformUnavailableError("cut off"), 0.0)
     await second.pull("10.0.0.1", 0.0)
     assert second._mirror.position == 1
-    assert second.unavailable_at == -math.inf
+    assert second.outage_ended_at == -math.inf
 
 
 async def test_a_node_without_the_platform_catches_up_with_its_peers(
@@ -503,6 +507,7 @@
             peers_of=lambda: list(mirrored),
             links=peers,
             apply_seconds=3.0,
+            report_seconds=1.5,
             random=random.Random(number),
             record=lambda action, **fields: None,
         )
@@ -555,3 +560,127 @@
     await trio.sleep(0.7)
     await second.pull("10.0.0.1", 0.0)
     assert second.copy_state().age == pytest.approx(0.7)
+
+
+class _ViewedFollower:
+    """A reader and the view that it keeps, with a platform of the test."""
+
+    def __init__(self, watch, read_all):
+        self.views = views.ViewBuilder(
+            decode=lambda key, value: builders.upstream(int(value)),
+            record=lambda action, **fields: None,
+        )
+        self.follower, self.lines = _follower(
+            1, _Peers(), members=(1,), watch=watch, read_all=read_all
+        )
+        self.follower._on_change = self._update
+
+    def _update(self):
+        self.views.update(
+            self.follower._mirror.items_by_key,
+            now=trio.current_time(),
+            outage_ended_at=self.follower.outage_ended_at,
+        )
+
+    def used(self):
+        return set(self.views.view.upstreams_by_id)
+
+
+# Requests for an upstream that left while the platform dropped its history.
+async def test_an_upstream_that_leaves_while_a_watch_is_cut_is_not_kept(
+    autojump_clock,
+):
+    """Guards against entries that are kept as lapsed without an outage.
+
+    Pattern: the platform tells nothing for a second, in which an entry is
+    removed; then it drops its history and cuts the watches
+    (nw-remnant scale-2 --seed 650531121564, nw-remnant-grown scale-1).
+    """
+    removed_at = 5.0
+    is_cut = False
+
+    async def watch(position, seconds):
+        nonlocal is_cut
+        if trio.current_time() < removed_at and position == 1:
+            with trio.move_on_after(seconds):
+                await trio.sleep_until(removed_at + 1.0)
+                is_cut = True
+                raise errors.PlatformUnavailableError("the watch was cut")
+            return [], 1
+        if position == 1:
+            raise errors.HistoryLostError("410")
+        await trio.sleep(seconds)
+        return [], position
+
+    async def read_all(may_be_stale):
+        if not is_cut:
+            return [_item("a", 1, b"1"), _item("b", 1, b"2")], 1
+        return [_item("a", 1, b"1")], 3
+
+    one = _ViewedFollower(watch, read_all)
+    with trio.move_on_after(30):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(one.follower._follow)
+            await trio.sleep_until(removed_at - 0.1)
+            assert one.used() == {"u1", "u2"}
+            await trio.sleep_until(removed_at + 1.0 + 0.5)
+            assert is_cut
+            assert one.used() == {"u1"}
+            nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("how", ["refuses", "silent"])
+async def test_entries_that_lapse_in_a_long_outage_are_kept(
+    autojump_clock, how
+):
+    """Guards against refusing everything when a store comes back empty.
+
+    Pattern: the platform is away for 6 s; entries lapse 4.5 s after their
+    last report.
+    """
+    back_at = 10.0
+
+    async def watch(position, seconds):
+        now = trio.current_time()
+        if 4.0 <= now < back_at or 4.0 < now + seconds < back_at:
+            error = errors.PlatformUnavailableError("away")
+            if how == "silent":
+                error.is_silent = True
+                await trio.sleep(seconds + 1.0)
+            raise error
+        if position == 1 and now >= back_at:
+            return [_item("b", 3, None)], 3
+        await trio.sleep(min(seconds, 4.0 - now if now < 4.0 else seconds))
+        return [], position
+
+    async def read_all(may_be_stale):
+        return [_item("a", 1, b"1"), _item("b", 1, b"2")], 1
+
+    one = _ViewedFollower(watch, read_all)
+    with trio.move_on_after(30):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(one.follower._follow)
+            while one.follower._mirror.position < 3:
+                await trio.sleep(0.05)
+            assert one.used() == {"u1", "u2"}
+            nursery.cancel_scope.cancel()
+
+
+async def test_an_outage_of_one_node_alone_is_none_of_the_platform(
+    autojump_clock,
+):
+    """Guards against lapsed entries at a node that only was cut off itself.
+
+    Pattern: the platform turns one reader away for 6 s; another node of its
+    domain reads and tells that an upstream has left.
+    """
+    peers = _Peers()
+    first, _ = _follower(1, peers, members=(1, 2))
+    second, _ = _follower(2, peers, members=(1, 2))
+    _make_current(first, [_item("a", 1)], 1)
+    second._note_unavailable(errors.PlatformUnavailableError("503"), 0.0)
+    await trio.sleep(6.0)
+    first._complete_at = trio.current_time()
+    await second.pull("10.0.0.1", 0.0)
+    second._note_available()
+    assert second.outage_ended_at == -math.inf
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -18,6 +18,8 @@
 [network.listen_addresses]
 outbound = "10.1.0.38:8147"
 ready = "10.1.0.38:8141"
+[platform]
+heartbeat_interval = "1500ms"
 [platform.platform]
 address = "10.200.1.7:8142"
 [terms.bounds]
@@ -44,6 +46,7 @@
     assert (terms.retry_ratio, terms.retry_constant) == (0.2, 56.0)
     assert (terms.cold_multiplier, terms.cold_constant) == (1.5, 5.0)
     assert terms.apply_seconds == 2.0
+    assert terms.report_seconds == 1.5
     assert (terms.retry_window_seconds, terms.grace_seconds) == (10.0, 6.0)
 
 
--- a/tests/runtime/test_node.py
+++ b/tests/runtime/test_node.py
@@ -118,6 +118,7 @@
                 cold_multiplier=1.5,
                 cold_constant=5.0,
                 apply_seconds=2.0,
+                report_seconds=1.5,
                 grace_seconds=6.0,
             ),
             names=names.HEADER_NAMES,
