Take no change into a copy that is already newer

Cause: an upstream that had left could be used again for good. The answer of a watch can cross a whole copy of a peer; what came and went between them is in neither, so ItemMirror.apply put back an entry whose removal no later watch tells. Change: apply ignores changes up to the position of the copy. Measured: test_a_change_from_before_a_whole_copy_brings_nothing_back failed before and passes.

--- a/shallotbridge/distribution/mirror.py
+++ b/shallotbridge/distribution/mirror.py
@@ -82,8 +82,13 @@
         return True
 
     def apply(self, items, position):
-        """Take changes in the order of their revisions."""
+        """Take changes in the order of their revisions.
+
+        Those up to the position are in this copy already, or were undone.
+        """
         for item in items:
+            if item.revision <= self.position:
+                continue
             if item.value is None:
                 self._delete(item.key, item.revision)
             else:
--- a/tests/distribution/test_mirror.py
+++ b/tests/distribution/test_mirror.py
@@ -85,3 +85,19 @@
     assert first.digest == second.digest
     second.apply([_item("d", 6)], 6)
     assert first.digest != second.digest
+
+
+# Requests for an upstream that a crossed answer brought back.
+def test_a_change_from_before_a_whole_copy_brings_nothing_back():
+    """Guards against an upstream that left and is used again for good.
+
+    Pattern: an upstream comes at revision 105 and leaves at 110 while a watch
+    is answered; a whole copy of a peer, as of 120, is taken before the
+    watch's answer.
+    """
+    items = mirror.ItemMirror()
+    items.replace([_item("a", 90)], 100)
+    items.replace([_item("a", 90)], 120)
+    items.apply([_item("gone", 105)], 107)
+    assert set(items.items_by_key) == {"a"}
+    assert items.position == 120
