Watch from the oldest page of a read

Cause: a removal could be missed for good. A read of several pages was taken as of its first page, but pages of a read that may be stale can come from replicas that are further behind. Change: the position of a read is the smallest of its pages. Measured: tests/platform/test_store.py::test_a_read_in_pages_is_as_old_as_its_oldest_page failed before (10 in place of 7) and passes.

--- a/shallotbridge/platform/store.py
+++ b/shallotbridge/platform/store.py
@@ -63,7 +63,7 @@
     async def read_all(self, may_be_stale=False):
         """Return all items and the revision from which to watch.
 
-        Pages are not a snapshot, so the watch starts at the first page.
+        Pages are not a snapshot, so the watch starts at the oldest of them.
 
         Parameters
         ----------
@@ -85,8 +85,8 @@
                 _Range,
                 ANSWER_SECONDS,
             )
-            if position is None:
-                position = page.at
+            # Pages of a read that may be stale can come from different times.
+            position = page.at if position is None else min(position, page.at)
             found.extend(_published(item) for item in page.items)
             if not page.has_more or not page.items:
                 return found, position
