Ask the next node soon for a first copy

Cause: a node that started could be without a view for 3 s. It asked up to three nodes in turn for a first copy, and each that had none itself held the pull for a second. Change: a pull waits for a first copy as long as it says, 0.2 s at a start.

--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -44,6 +44,8 @@
 # as old as the time between two, so no entry lapses in an outage that is
 # shorter than this number of reports.
 LAPSE_REPORTS = 2
+# Time that a node which starts waits for one node before it asks the next, s.
+FIRST_PULL_SECONDS = 0.2
 # Time between attempts while the platform is unavailable, s.
 RETRY_SECONDS = 0.3
 MAXIMUM_RETRY_SECONDS = 0.7
@@ -289,7 +291,7 @@
         while addresses:
             for address in list(addresses):
                 try:
-                    await self.pull(address, 0.0)
+                    await self.pull(address, FIRST_PULL_SECONDS)
                 except errors.PeerUnavailableError:
                     # It has just started too and is asked again.
                     continue
@@ -486,7 +488,7 @@
 
     async def answer_pull(self, pull):
         """Return the ``link.Items`` that answer another node's pull."""
-        if not await self._wait_current():
+        if not await self._wait_current(pull.wait_ms / 1000):
             return link.Items(
                 call_id=pull.call_id, position=0, is_whole=False, items=()
             )
@@ -524,8 +526,8 @@
         """Wait until the mirror was up to date once."""
         await self._became_current.wait()
 
-    async def _wait_current(self):
-        with trio.move_on_after(PULL_WAIT_SECONDS):
+    async def _wait_current(self, seconds):
+        with trio.move_on_after(seconds):
             await self.wait_current()
         return self.is_current
 
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -684,3 +684,22 @@
     await second.pull("10.0.0.1", 0.0)
     second._note_available()
     assert second.outage_ended_at == -math.inf
+
+
+async def test_a_node_that_starts_waits_little_for_others_that_start(
+    autojump_clock,
+):
+    """Guards against seconds without a view after a mass restart.
+
+    Pattern: the first two nodes that are asked for a copy have just started
+    too and have none; the third has one.
+    """
+    peers = _Peers()
+    for number in (1, 2):
+        _follower(number, peers, members=(1, 2, 3, 4))
+    third, _ = _follower(3, peers, members=(1, 2, 3, 4))
+    _make_current(third, [_item("a", 1)], 1)
+    fourth, _ = _follower(4, peers, members=(1, 2, 3, 4))
+    with trio.fail_after(0.5):
+        assert await fourth._pull_first([f"10.0.0.{one}" for one in (1, 2, 3)])
+    assert fourth.is_current
