Count the time of a large answer into the pause for gathering

Cause: configurations reached nodes later than they could: the reader paused for a quarter of the agreed time after each answer, also after one that took a second to arrive on a link of 5 Mbit/s and had gathered the changes of that second already. Change: the follower of the configuration pauses for what the call left of that time. Measured: test_the_pause_counts_from_the_start_of_a_slow_answer failed before (1.5 s and 0.6 s between calls) and passes (1.0 s and 0.5 s). Upstreams keep the full pause, whose calls are priced.

--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -386,6 +386,7 @@
 
     async def _watch_once(self):
         self.call_count += 1
+        began = trio.current_time()
         previous = self._mirror.position
         items, position = await self._watch(
             previous, WATCH_SECONDS if self.is_current else 0.0
@@ -404,7 +405,17 @@
             )
             self._mirror.apply(items, position)
             self._notify()
-            await trio.sleep(self._gather_seconds)
+            await trio.sleep(self._pause_after(began))
+
+    def _pause_after(self, began):
+        """Return how long to gather changes after a watch's answer, seconds.
+
+        A large configuration takes long to arrive; the changes of that time
+        are gathered already.
+        """
+        if self._topic != CONFIGURATION:
+            return self._gather_seconds
+        return max(0.0, self._gather_seconds - trio.current_time() + began)
 
     async def _pull_from_parent(self, address):
         wait = PULL_WAIT_SECONDS if self.is_current else 0.0
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -703,3 +703,32 @@
     with trio.fail_after(0.5):
         assert await fourth._pull_first([f"10.0.0.{one}" for one in (1, 2, 3)])
     assert fourth.is_current
+
+
+# Requests on routes of an older configuration, later than agreed.
+@pytest.mark.parametrize(
+    "answer_seconds, most_seconds", [(1.0, 1.05), (0.1, 0.55)]
+)
+async def test_the_pause_counts_from_the_start_of_a_slow_answer(
+    autojump_clock, answer_seconds, most_seconds
+):
+    """Guards against a pause on top of the time that a configuration takes.
+
+    Pattern: configurations in quick succession, each of which takes a second
+    on the reader's link, or a tenth; changes are gathered for 0.5 s.
+    """
+    begun = []
+
+    async def watch(position, seconds):
+        begun.append(trio.current_time())
+        await trio.sleep(answer_seconds)
+        return [_item("op/config", position + 1)], position + 1
+
+    made, _ = _follower(1, _Peers(), members=(1,), watch=watch)
+    made._topic = follower.CONFIGURATION
+    _make_current(made, [_item("op/config", 1)], 1)
+    with trio.move_on_after(5.0):
+        await made._follow()
+    pauses = [after - before for before, after in zip(begun, begun[1:])]
+    assert max(pauses) <= most_seconds
+    assert min(pauses) >= 0.5 - 1e-6
