Start without the interval of reports in the settings file

Cause: made platform.heartbeat_interval required; a node whose file lacks it ended at its start. Change: 1500 ms where the file does not state it, as on all sites.

--- a/shallotbridge/platform/settings.py
+++ b/shallotbridge/platform/settings.py
@@ -10,6 +10,8 @@
 
 # Where no bound of cold upstreams is agreed, they get their tolerated rate.
 DEFAULT_COLD_MULTIPLIER = 1.0
+# Time between the reports of an upstream where the file does not state it.
+DEFAULT_REPORT_INTERVAL = "1500ms"
 
 
 def load(path):
@@ -79,7 +81,9 @@
             "terms.bounds.config_apply", durations.parse_duration
         ),
         "report": reader.convert(
-            "platform.heartbeat_interval", durations.parse_duration
+            "platform.heartbeat_interval",
+            durations.parse_duration,
+            DEFAULT_REPORT_INTERVAL,
         ),
         "grace": reader.convert(
             "terms.bounds.grace_period", durations.parse_duration
@@ -147,9 +151,9 @@
             return None
         return value
 
-    def convert(self, name, function):
+    def convert(self, name, function, default=None):
         """Return what a function makes of the text of a field."""
-        text = self.get(name, str)
+        text = self.get(name, str, default)
         if text is None:
             return None
         try:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -74,3 +74,12 @@
     """Guards against a node that serves without settings."""
     with pytest.raises(errors.SettingsError):
         settings.load(str(tmp_path / "missing.toml"))
+
+
+def test_a_file_without_the_interval_of_reports():
+    """Guards against a node that does not start for a field it can do without.
+
+    Pattern: a platform whose settings file is older than the field.
+    """
+    terms = settings.parse(TEXT.replace('heartbeat_interval = "1500ms"', ""))
+    assert terms.report_seconds == 1.5
