Ask for fewer signs of life on connections for large items

Cause: the follower of the configuration waits at its parent most of the time, and a connection on which a request waits is pinged each tenth of a second: up to ten pings a second for each child. Change: such connections are looked at twice a second. Measured: test_a_request_that_waits_long_costs_few_signs_of_life; processor time not measured alone.

--- a/shallotbridge/peers/links.py
+++ b/shallotbridge/peers/links.py
@@ -13,6 +13,9 @@
 # A connection with requests in flight is looked at this often, s, and the
 # peer is asked for a sign of life after the same time without any byte.
 WATCH_SECONDS = 0.1
+# The same of a connection that only brings large items and on which a request
+# waits most of the time.
+BULK_WATCH_SECONDS = 0.5
 # A peer that does not answer a ping for this long gets no new requests, s.
 # Nodes are some ms apart. A lost packet, sent again after about 0.2 s, only
 # diverts requests for a moment.
@@ -60,6 +63,9 @@
         ``on_load(address, load)`` with each load that the peer reports.
     on_state : callable
         ``on_state(address, is_connected, reason)``.
+    watch_seconds : float
+        Time without a byte after which a peer that owes an answer is asked
+        for a sign of life.
     """
 
     def __init__(
@@ -73,6 +79,7 @@
         on_position,
         on_load,
         on_state,
+        watch_seconds=WATCH_SECONDS,
     ):
         self.address = address
         self._open_stream = open_stream
@@ -82,6 +89,7 @@
         self._on_position = on_position
         self._on_load = on_load
         self._on_state = on_state
+        self._watch_seconds = watch_seconds
         self._call_ids = itertools.count(1)
         self._calls_by_id = {}
         self._stream = None
@@ -263,7 +271,7 @@
                     self._is_closing = True
                     scope.cancel()
                     return
-            due = trio.current_time() + WATCH_SECONDS
+            due = trio.current_time() + self._watch_seconds
             await trio.sleep_until(due)
             now = trio.current_time()
             # While this node had no processor time, it could not hear.
@@ -275,7 +283,7 @@
                     self._on_state(self.address, True, "answers again")
             if pinged_at is None:
                 silence = now - self._last_received
-                if self._calls_by_id and silence > WATCH_SECONDS:
+                if self._calls_by_id and silence > self._watch_seconds:
                     pinged_at = now
                     unheard_seconds = 0.0
                     self._send_ping(outbox, now)
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -243,7 +243,11 @@
         """Return the connection to the node at an address."""
         found = self._links_by_address.get(address)
         if found is None:
-            found = self._make_link(address, self._on_link_state)
+            found = self._make_link(
+                address,
+                on_state=self._on_link_state,
+                watch_seconds=peer_links.WATCH_SECONDS,
+            )
             self._links_by_address[address] = found
         return found
 
@@ -254,11 +258,15 @@
         """
         found = self._bulk_links_by_address.get(address)
         if found is None:
-            found = self._make_link(address, lambda *state: None)
+            found = self._make_link(
+                address,
+                on_state=lambda *state: None,
+                watch_seconds=peer_links.BULK_WATCH_SECONDS,
+            )
             self._bulk_links_by_address[address] = found
         return found
 
-    def _make_link(self, address, on_state):
+    def _make_link(self, address, **options):
         return peer_links.PeerLink(
             open_stream=self._network.open_stream,
             address=address,
@@ -267,7 +275,7 @@
             read_copies=self._copies,
             on_position=self._on_position,
             on_load=self._on_load,
-            on_state=on_state,
+            **options,
         )
 
     # Distribution.
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -50,8 +50,9 @@
 class _Peer:
     """A node that serves on loopback, and a link to it."""
 
-    def __init__(self, run_work):
+    def __init__(self, run_work, watch_seconds=links.WATCH_SECONDS):
         self.run_work = run_work
+        self.watch_seconds = watch_seconds
         self.states = []
         self.positions = []
 
@@ -84,6 +85,7 @@
             ),
             on_load=lambda address, load: None,
             on_state=lambda address, is_up, why: self.states.append(is_up),
+            watch_seconds=self.watch_seconds,
         )
 
 
@@ -363,3 +365,27 @@
     with trio.fail_after(5):
         await peer.link.exchange(_work(1))
     assert False not in peer.states
+
+
+@pytest.mark.parametrize(
+    "watch_seconds", [links.WATCH_SECONDS, links.BULK_WATCH_SECONDS]
+)
+async def test_a_request_that_waits_long_costs_few_signs_of_life(
+    nursery, watch_seconds
+):
+    """Guards against pings that cost more than what is waited for.
+
+    Pattern: a node waits 1.5 s for news of the configuration, as it does most
+    of the time, on a connection of its own.
+    """
+
+    async def run_work(work, delay):
+        await trio.sleep(1.5)
+        return _answer(work)
+
+    peer = _Peer(run_work, watch_seconds)
+    await peer.start(nursery)
+    with trio.fail_after(5):
+        await peer.link.exchange(_work(peer.link.next_call_id()))
+    # Each sign of life tells a position, and so does the answer.
+    assert 1 < len(peer.positions) <= 1.5 / watch_seconds + 1
