Move the choice of a parent into distribution/tree.py

Change: ReadingTree holds who is passed over or turned away and tells parent, first parents and neighbours; no change of behaviour. Attempts to reach a node run supervised like other tasks.

--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -1,10 +1,7 @@
 """Follows the published items, at the platform or at other nodes."""
 
-import bisect
 import dataclasses
 import functools
-import hashlib
-import heapq
 import math
 import typing
 import zlib
@@ -17,20 +14,13 @@
 from ..core import errors
 from ..core import supervision
 from . import mirror as mirrors
+from . import tree
 
 # What a follower keeps a copy of. Upstreams and configuration are followed
 # apart: a configuration of 2,300 routes takes a second on a link of 5 Mbit/s,
 # and the news that an upstream leaves must not wait behind it.
 UPSTREAMS = 0
 CONFIGURATION = 1
-# One node of a failure domain watches the platform. The others pull from it
-# in a tree with this many children a node: a changed configuration of 2,300
-# routes takes 0.03 s for each child on a link of 10 Mbit/s. What the reader of
-# a domain misses, those of the other domains bring by the pings.
-MAXIMUM_CHILDREN = 8
-# Nodes of a domain that may read, in their order, when the platform turns the
-# first away; more would only load a platform that is down.
-READER_CANDIDATES = 3
 # Time that a watch waits at the platform for news, s. A lost answer is
 # noticed after it, and each watch costs a call.
 WATCH_SECONDS = 4.0
@@ -42,9 +32,6 @@
 # A node that starts waits this long until an upstream is registered, s, before
 # it reads everything: until then there is nothing to serve.
 NOBODY_SECONDS = 3.0
-# A node that does not answer, or a reader that the platform turns away, is
-# passed over for this long, s, and the next one takes its place.
-PASS_OVER_SECONDS = 2.0
 # Time in which a node that starts tries to get a first copy from others, s.
 BEGIN_SECONDS = 2.0
 # An entry lapses after three reports that did not come. The last one may be
@@ -57,11 +44,8 @@
 RETRY_SECONDS = 0.3
 MAXIMUM_RETRY_SECONDS = 0.7
 # A peer is asked for its revision this often, s, and asked for its items if
-# it is still ahead after the delay. Each node asks a few others only, so that
-# its connections do not grow with the fleet; each pair learns from a ping who
-# is behind, and four others of each node connect a fleet of any size.
+# it is still ahead after the delay.
 GOSSIP_SECONDS = 0.5
-GOSSIP_PEERS = 4
 CATCH_UP_DELAY_SECONDS = 0.3
 # Longest time that a pull waits at a reader for news, s. The next pull goes
 # to another reader, which covers one that lost the platform unnoticed.
@@ -157,8 +141,11 @@
         self._watch = source.watch
         self._on_change = on_change
         self._own_address = own_address
-        self._own_domain = own_domain
-        self._peers_of = peers_of
+        self._tree = tree.ReadingTree(
+            own_address=own_address,
+            own_domain=own_domain,
+            peers_of=peers_of,
+        )
         self._links = links
         self._gather_seconds = apply_seconds * GATHER_SHARE
         self._lapse_seconds = report_seconds * LAPSE_REPORTS
@@ -168,8 +155,6 @@
         self._changed = trio.Event()
         self._ahead = None
         self._ahead_event = trio.Event()
-        self._passed_over_until = {}
-        self._turned_away_until = {}
         self.is_current = False
         self._became_current = trio.Event()
         self._complete_at = -math.inf
@@ -229,67 +214,11 @@
     @property
     def parent(self):
         """Address of the node that this one pulls from; None for a reader."""
-        now = trio.current_time()
-        ranked = self._live_domain(now)
-        if not ranked:
-            # No upstream of the own domain is registered, as at first.
-            elsewhere = self._first_elsewhere(now)
-            return elsewhere[0] if elsewhere else None
-        candidates = ranked[:READER_CANDIDATES]
-        reader = next(
-            (
-                address
-                for address in candidates
-                if self._turned_away_until.get(address, now) <= now
-            ),
-            ranked[0],
-        )
-        if reader == self._own_address:
-            return None
-        ranked.remove(reader)
-        own_rank = _rank(self._own_address)
-        place = 1 + bisect.bisect_left(ranked, own_rank, key=_rank)
-        parent_place = (place - 1) // MAXIMUM_CHILDREN
-        return reader if parent_place == 0 else ranked[parent_place - 1]
-
-    def _may_read(self):
-        """Tell whether this node may take the reader's place."""
-        ranked = self._live_domain(trio.current_time())
-        return self._own_address in ranked[:READER_CANDIDATES]
-
-    def _live_domain(self, now):
-        """Return the nodes of the own domain that answer, in their ranking."""
-        addresses = {
-            address
-            for address, failure_domain in self._peers_of()
-            if failure_domain == self._own_domain
-            and self._passed_over_until.get(address, now) <= now
-        }
-        return sorted(addresses, key=_rank)
-
-    def _first_elsewhere(self, now):
-        """Return those of the first nodes of other domains that answer."""
-        addresses = {
-            address
-            for address, failure_domain in self._peers_of()
-            if failure_domain != self._own_domain
-        }
-        return [
-            address
-            for address in heapq.nsmallest(
-                READER_CANDIDATES, addresses, key=_rank
-            )
-            if self._passed_over_until.get(address, now) <= now
-        ]
-
-    def _pass_over(self, address):
-        until = trio.current_time() + PASS_OVER_SECONDS
-        self._passed_over_until[address] = until
+        return self._tree.parent()
 
     def _turn_away(self, address):
         """Let another node read in place of one without the platform."""
-        until = trio.current_time() + PASS_OVER_SECONDS
-        self._turned_away_until[address] = until
+        self._tree.turn_away(address)
         if address == self._own_address:
             # Nodes that wait here for news are told to go elsewhere.
             self._wake_pulls()
@@ -308,7 +237,7 @@
             if not nodes:
                 await trio.sleep(EMPTY_SECONDS)
         with trio.move_on_after(BEGIN_SECONDS):
-            if await self._pull_first(self._first_parents(nodes)):
+            if await self._pull_first(self._tree.first_parents(nodes)):
                 return
         await self._read_whole(may_be_stale=not failures)
 
@@ -328,20 +257,6 @@
                     return True
         return False
 
-    def _first_parents(self, nodes):
-        """Return the nodes to ask for a first copy, of the own domain first.
-
-        The first of the own domain reads the platform itself.
-        """
-        own, others = set(), set()
-        for address, failure_domain in nodes:
-            is_own = failure_domain == self._own_domain
-            (own if is_own else others).add(address)
-        ranked = sorted(own, key=_rank) or sorted(others, key=_rank)
-        if self._own_address in ranked:
-            ranked = ranked[: ranked.index(self._own_address)]
-        return ranked[:READER_CANDIDATES]
-
     async def _read_whole(self, may_be_stale=False):
         self.call_count += 1
         began = trio.current_time()
@@ -431,7 +346,7 @@
             if isinstance(error, errors.PlatformUnavailableError):
                 self._turn_away(address)
             else:
-                self._pass_over(address)
+                self._tree.pass_over(address)
             self._note_pull_failed(address, error)
             return False
         return True
@@ -466,7 +381,7 @@
                     call_id=peer.next_call_id(),
                     position=position,
                     wait_ms=int(wait_seconds * 1000),
-                    may_read=self._may_read(),
+                    may_read=self._tree.may_read(),
                     topic=self._topic,
                 )
             )
@@ -543,10 +458,10 @@
             )
         with trio.move_on_after(pull.wait_ms / 1000):
             while self._mirror.position <= pull.position and not (
-                pull.may_read and self._is_turned_away()
+                pull.may_read and self._tree.is_turned_away(self._own_address)
             ):
                 await self._changed.wait()
-        if pull.may_read and self._is_turned_away():
+        if pull.may_read and self._tree.is_turned_away(self._own_address):
             return link.Items(
                 call_id=pull.call_id,
                 position=0,
@@ -567,10 +482,6 @@
             age_ms=state.age * 1000,
         )
 
-    def _is_turned_away(self):
-        now = trio.current_time()
-        return self._turned_away_until.get(self._own_address, now) > now
-
     async def wait_current(self):
         """Wait until the mirror was up to date once."""
         await self._became_current.wait()
@@ -611,7 +522,7 @@
             await trio.sleep(
                 GOSSIP_SECONDS * (0.75 + 0.5 * self._random.random())
             )
-            addresses = self._gossip_peers(unreachable)
+            addresses = self._tree.neighbours(unreachable)
             if not addresses:
                 unreachable.clear()
                 continue
@@ -627,17 +538,6 @@
             unreachable.clear()
             peer.ping()
 
-    def _gossip_peers(self, unreachable):
-        """Return the nodes that are asked for their revision."""
-        addresses = {address for address, _ in self._peers_of()}
-        addresses -= unreachable
-        addresses.discard(self._own_address)
-        return heapq.nsmallest(
-            GOSSIP_PEERS,
-            addresses,
-            key=lambda address: _rank(f"{self._own_address} {address}"),
-        )
-
     def _notify(self):
         self._wake_pulls()
         self._on_change()
@@ -704,9 +604,3 @@
             f"item {item.key!r} of a peer cannot be read: {error}"
         ) from error
     return msgspec.structs.replace(item, value=value)
-
-
-@functools.lru_cache(maxsize=16384)
-def _rank(address):
-    """Return a node's place among the candidates for reading."""
-    return hashlib.blake2b(address.encode(), digest_size=8).digest()
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -348,7 +348,9 @@
         )
         for other in avoided:
             self._selector.on_unreachable(other)
-            self._nursery.start_soon(self._try_link, other)
+            self._nursery.start_soon(
+                supervision.keep_running, self._try_link, other
+            )
         if avoided:
             decisions.record(
                 "domain_doubted",
@@ -405,7 +407,9 @@
         while True:
             await trio.sleep(RECONNECT_SECONDS)
             for address in self._selector.suspect_addresses():
-                self._nursery.start_soon(self._try_link, address)
+                self._nursery.start_soon(
+                    supervision.keep_running, self._try_link, address
+                )
 
     async def _try_link(self, address):
         peer = self._link(address)
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -12,6 +12,7 @@
 from shallotbridge.core import errors
 from shallotbridge.distribution import follower
 from shallotbridge.distribution import mirror
+from shallotbridge.distribution import tree
 from shallotbridge.distribution import views
 
 from tests.traffic import builders
@@ -110,7 +111,7 @@
     made = [_follower(one, peers, members=members)[0] for one in members]
     parents = {one._own_address: one.parent for one in made}
     children = collections.Counter(parents.values())
-    assert max(children.values()) <= follower.MAXIMUM_CHILDREN
+    assert max(children.values()) <= tree.MAXIMUM_CHILDREN
 
     def depth(address):
         parent = parents[address]
@@ -168,7 +169,7 @@
     """Return the numbers of the nodes in the ranking of their domain."""
     return sorted(
         followers_by_number,
-        key=lambda number: follower._rank(f"10.0.0.{number}"),
+        key=lambda number: tree.rank(f"10.0.0.{number}"),
     )
 
 
@@ -223,7 +224,7 @@
             for one in followers.values():
                 nursery.start_soon(one._follow)
     assert set(platform.calls) <= set(
-        _ranked(followers)[: follower.READER_CANDIDATES]
+        _ranked(followers)[: tree.READER_CANDIDATES]
     )
     assert platform.calls.total() <= 3 * 5.0 / 0.3
     platform.turned_away.clear()
@@ -427,7 +428,7 @@
 
     peers.on_ping = asked.add
     await ask(60.0)
-    assert len(asked) == follower.GOSSIP_PEERS
+    assert len(asked) == tree.NEIGHBOURS
     for address in asked:
         del peers.followers_by_address[address]
     lost = set(asked)
