--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -157,7 +157,8 @@
             topic=follower.CONFIGURATION,
             tells_position=False,
         )
-        self._first_read_count = 0
+        # Calls to the platform for the nodes to start from.
+        self._node_read_count = 0
         self._selector = selection.Selector(
             own_address=own_host.address,
             own_domain=own_host.failure_domain,
@@ -282,7 +283,7 @@
 
     async def _read_nodes(self, read_nodes):
         """Ask the platform where some upstreams are registered."""
-        self._first_read_count += 1
+        self._node_read_count += 1
         return await read_nodes()
 
     async def _known_nodes(self):
@@ -579,7 +580,7 @@
 
     def _platform_calls(self):
         return (
-            self._first_read_count
+            self._node_read_count
             + self._upstream_follower.call_count
             + self._configuration_follower.call_count
         )
