--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -98,8 +98,6 @@
         ``links(address)`` returns the ``PeerLink`` to a node.
     topic : int
         ``UPSTREAMS`` or ``CONFIGURATION``.
-    tells_position : bool
-        Whether it asks other nodes how far they are, for all topics.
     apply_seconds : float
         Time after which a published change has to be in force.
     report_seconds : float
@@ -130,12 +128,10 @@
         report_seconds,
         random,
         topic=UPSTREAMS,
-        tells_position=True,
         record=decisions.record,
     ):
         self._mirror = mirror
         self._topic = topic
-        self._tells_position = tells_position
         self._read_all = source.read_all
         self._read_nodes = read_nodes
         self._watch = source.watch
@@ -166,7 +162,8 @@
     async def run(self):
         """Follow the published items until cancelled."""
         tasks = [self._follow, self._catch_up]
-        if self._tells_position:
+        if self._topic == UPSTREAMS:
+            # Its pings tell the positions of all topics.
             tasks.append(self._gossip)
         async with trio.open_nursery() as nursery:
             for task in tasks:
@@ -437,8 +434,8 @@
 
     def _compare(self, address, position, digest):
         """Report a node whose copy of the same revision differs."""
-        state = self.copy_state()
-        if digest and position == state.position and digest != state.digest:
+        mirror = self._mirror
+        if digest and position == mirror.position and digest != mirror.digest:
             now = trio.current_time()
             if now >= self._difference_due_at:
                 self._difference_due_at = now + DIFFERENCE_SECONDS
--- a/shallotbridge/distribution/mirror.py
+++ b/shallotbridge/distribution/mirror.py
@@ -11,8 +11,7 @@
 # Deletions that are remembered for peers that ask for changes; a peer that
 # is further behind gets a whole copy.
 MAXIMUM_DELETIONS = 2000
-
-
+# Digests travel as integers of 64 bits with a sign.
 _DIGEST_BYTES = 7
 
 
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -155,7 +155,6 @@
             read_nodes=self._known_nodes,
             links=self._bulk_link,
             topic=follower.CONFIGURATION,
-            tells_position=False,
         )
         # Calls to the platform for the nodes to start from.
         self._node_read_count = 0
@@ -242,43 +241,41 @@
 
     def _link(self, address):
         """Return the connection to the node at an address."""
-        found = self._links_by_address.get(address)
-        if found is None:
-            found = self._make_link(
-                address,
-                on_state=self._on_link_state,
-                watch_seconds=peer_links.WATCH_SECONDS,
-            )
-            self._links_by_address[address] = found
-        return found
+        return self._find_link(
+            self._links_by_address,
+            address,
+            on_state=self._on_link_state,
+            watch_seconds=peer_links.WATCH_SECONDS,
+        )
 
     def _bulk_link(self, address):
         """Return a connection on which nothing else waits behind large items.
 
         Its loss says nothing of the node that the other one does not.
         """
-        found = self._bulk_links_by_address.get(address)
+        return self._find_link(
+            self._bulk_links_by_address,
+            address,
+            on_state=lambda *state: None,
+            watch_seconds=peer_links.BULK_WATCH_SECONDS,
+        )
+
+    def _find_link(self, links_by_address, address, **options):
+        found = links_by_address.get(address)
         if found is None:
-            found = self._make_link(
-                address,
-                on_state=lambda *state: None,
-                watch_seconds=peer_links.BULK_WATCH_SECONDS,
+            found = peer_links.PeerLink(
+                open_stream=self._network.open_stream,
+                address=address,
+                port=self._terms.peer_port,
+                nursery=self._nursery,
+                read_copies=self._copies,
+                on_position=self._on_position,
+                on_load=self._on_load,
+                **options,
             )
-            self._bulk_links_by_address[address] = found
+            links_by_address[address] = found
         return found
 
-    def _make_link(self, address, **options):
-        return peer_links.PeerLink(
-            open_stream=self._network.open_stream,
-            address=address,
-            port=self._terms.peer_port,
-            nursery=self._nursery,
-            read_copies=self._copies,
-            on_position=self._on_position,
-            on_load=self._on_load,
-            **options,
-        )
-
     # Distribution.
 
     async def _read_nodes(self, read_nodes):
@@ -392,16 +389,10 @@
         known = {
             upstream.address for upstream in view.upstreams_by_id.values()
         }
-        for address, peer in list(self._links_by_address.items()):
-            if address not in known and not peer.pending_count:
-                peer.close()
-                del self._links_by_address[address]
-                self._reached_by_address.pop(address, None)
-                self._silence.forget(address)
-        for address, peer in list(self._bulk_links_by_address.items()):
-            if address not in known and not peer.pending_count:
-                peer.close()
-                del self._bulk_links_by_address[address]
+        for address in _drop_unused(self._links_by_address, known):
+            self._reached_by_address.pop(address, None)
+            self._silence.forget(address)
+        _drop_unused(self._bulk_links_by_address, known)
 
     async def _reconnect(self):
         """Try the owner nodes again that could not be reached."""
@@ -590,6 +581,18 @@
         return 0 if configuration is None else configuration.version
 
 
+def _drop_unused(links_by_address, known):
+    """Close the links to unknown nodes; return the nodes' addresses."""
+    dropped = [
+        address
+        for address, peer in links_by_address.items()
+        if address not in known and not peer.pending_count
+    ]
+    for address in dropped:
+        links_by_address.pop(address).close()
+    return dropped
+
+
 def _plain(status, text):
     return messages.Response(
         status=status, headers=(), body=text.encode() + b"\n"
