Prove a reader's copy by a read instead of a silent watch

Cause: a node that becomes the reader of its domain watched from the end of its mirror and took silence for the absence of changes. A store whose history is gone answers such a watch only at the next change with its prefix. A starting node took a stale read, followed by an empty watch of zero seconds, for current. Change: a reader reads its topic when it takes over, after any failed call and after lost history, and watches from there. A long poll lasts at most the agreed time; one without a change is followed by a read of the store's revision, and by a read of the topic if that moved, at 32 kB a second at most. Repeated losses of history are not followed without a pause. Tests: stubs got the reads; the stale read's test now gives the newer copy to the current read; removed_at of the broken watch lies in a shorter long poll. Measured: test_a_change_while_watches_are_silent_is_active_in_time fails before and passes; the three new tests of the follower need the new call. tests/distribution, runtime, platform, soak and standins pass.

--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -24,9 +24,12 @@
 # behind it.
 UPSTREAMS = 0
 CONFIGURATION = 1
-# Long-poll timeout of a watch at the platform. A lost response is detected
-# only after this time; a shorter one costs more calls.
+# Maximum long-poll timeout of a watch at the platform. A lost response is
+# detected only after this time; a shorter one costs more calls.
 WATCH_TIMEOUT_SECONDS = 4.0
+# Maximum rate, averaged over the time since the last one, of full reads that
+# only confirm that a watch missed nothing.
+CONFIRMATION_BYTES_PER_SECOND = 32_000
 # Fraction of the maximum apply time for which a reader batches changes into
 # one call; the rest is left for propagation to the other nodes.
 BATCH_WINDOW_RATIO = 0.25
@@ -75,11 +78,15 @@
     watch : callable
         ``await watch(position, seconds)`` returns the changes after a
         revision and the revision they lead to, after a long poll of at most
-        that many seconds; raises ``HistoryLostError``.
+        that many seconds; raises ``HistoryLostError``. An empty result does
+        not prove that there was no change.
+    read_revision : callable
+        ``await read_revision()`` returns the latest revision of all topics.
     """
 
     read_all: typing.Callable
     watch: typing.Callable
+    read_revision: typing.Callable
 
 
 class Follower:
@@ -140,6 +147,7 @@
         self._read_all = source.read_all
         self._read_nodes = read_nodes
         self._watch = source.watch
+        self._read_revision = source.read_revision
         self._on_change = on_change
         self._own_address = own_address
         self._tree = tree.DistributionTree(
@@ -149,6 +157,7 @@
         )
         self._link_to = link_to
         self._batch_window_seconds = maximum_apply_seconds * BATCH_WINDOW_RATIO
+        self._watch_seconds = min(WATCH_TIMEOUT_SECONDS, maximum_apply_seconds)
         self._minimum_expiry_seconds = (
             report_interval_seconds * MINIMUM_EXPIRY_REPORTS
         )
@@ -161,6 +170,11 @@
         self.is_current = False
         self._became_current = trio.Event()
         self._complete_at = -math.inf
+        # Whether a current read, followed by watches without an interruption,
+        # shows that the mirror is complete.
+        self._is_confirmed = False
+        self._confirmation_due_at = -math.inf
+        self._history_lost_at = -math.inf
         self._difference_log_due_at = -math.inf
         self._outage_began_at = None
         self._outage_ended_at = -math.inf
@@ -192,14 +206,18 @@
             try:
                 if not self._mirror.position:
                     await self._bootstrap(failures)
-                elif (parent := self.parent) is None:
+                elif (parent := self.parent) is not None:
+                    self._is_confirmed = False
+                    await self._pull_from_parent(parent)
+                elif self._is_confirmed:
                     await self._watch_once()
                 else:
-                    await self._pull_from_parent(parent)
+                    await self._read_snapshot()
             except errors.HistoryLostError:
                 await self._on_history_lost()
             except errors.PlatformUnavailableError as error:
                 failures += 1
+                self._is_confirmed = False
                 self._on_platform_unavailable(error, began_at)
                 self._exclude_reader(self._own_address)
                 if not self.is_reader():
@@ -234,7 +252,8 @@
 
         A stale read of some entries finds peers to pull from. If no peer has
         a copy, a full snapshot is read from the platform. It may be stale
-        too, so the mirror counts as current only after a watch or a pull.
+        too, so the mirror counts as current only after a current read or a
+        pull.
         """
         until = trio.current_time() + REGISTRATION_WAIT_SECONDS
         nodes = []
@@ -276,8 +295,13 @@
         items, position = await self._read_all(may_be_stale)
         self._on_platform_available()
         self._mirror.replace(items, position)
-        if items and not may_be_stale:
+        if not may_be_stale:
             self._complete_at = began_at
+            self._is_confirmed = True
+            size = sum(len(item.value or b"") for item in items)
+            self._confirmation_due_at = (
+                trio.current_time() + size / CONFIRMATION_BYTES_PER_SECOND
+            )
             self._set_current()
         self._record(
             "items_read",
@@ -304,35 +328,50 @@
         self._record(
             "history_lost", topic=self._topic, position=self._mirror.position
         )
-        began_at = trio.current_time()
-        try:
-            await self._read_snapshot()
-        except errors.PlatformUnavailableError as error:
-            self._on_platform_unavailable(error, began_at)
+        self._is_confirmed = False
+        # A platform that lost its history again after a full read is not
+        # read in a loop without a pause.
+        if trio.current_time() - self._history_lost_at < RETRY_DELAY_SECONDS:
             await trio.sleep(RETRY_DELAY_SECONDS)
+        self._history_lost_at = trio.current_time()
 
     async def _watch_once(self):
         self.platform_call_count += 1
         began_at = trio.current_time()
         previous = self._mirror.position
-        items, position = await self._watch(
-            previous, WATCH_TIMEOUT_SECONDS if self.is_current else 0.0
-        )
+        items, position = await self._watch(previous, self._watch_seconds)
         self._on_platform_available()
+        if not items:
+            await self._confirm_silence()
+            return
         self._complete_at = trio.current_time()
-        self._set_current()
-        if items:
-            self._record(
-                "items_watched",
-                topic=self._topic,
-                position=position,
-                previous=previous,
-                items=len(items),
-                bytes=sum(len(item.value or b"") for item in items),
-            )
-            self._mirror.apply(items, position)
-            self._notify()
-            await trio.sleep(self._batch_delay(began_at))
+        self._record(
+            "items_watched",
+            topic=self._topic,
+            position=position,
+            previous=previous,
+            items=len(items),
+            bytes=sum(len(item.value or b"") for item in items),
+        )
+        self._mirror.apply(items, position)
+        self._notify()
+        await trio.sleep(self._batch_delay(began_at))
+
+    async def _confirm_silence(self):
+        """Check that a watch without changes has missed none.
+
+        A platform that dropped its history may leave a watch unanswered. If
+        its latest revision is that of this copy, the copy is complete.
+        Otherwise the revision may belong to the other topic, and a full read
+        tells; large topics are read less often.
+        """
+        self.platform_call_count += 1
+        began_at = trio.current_time()
+        revision = await self._read_revision()
+        if revision == self._mirror.position:
+            self._complete_at = began_at
+        elif began_at >= self._confirmation_due_at:
+            self._is_confirmed = False
 
     def _batch_delay(self, began_at):
         """Return how long to batch changes after a watch response, seconds.
--- a/shallotbridge/platform/items.py
+++ b/shallotbridge/platform/items.py
@@ -12,7 +12,7 @@
 # Keys of the items that operators write begin with this.
 OPERATOR_PREFIX = "op/"
 _CONFIGURATION_KEY = "op/config"
-_OUT_OF_SERVICE_PREFIX = "op/evacuate/"
+OUT_OF_SERVICE_PREFIX = "op/evacuate/"
 UPSTREAM_PREFIX = "servers/"
 # Priority of routes that state none; it ranks below every stated priority.
 _DEFAULT_PRIORITY = 9
@@ -123,8 +123,8 @@
         return _decode_configuration(value)
     if key.startswith(UPSTREAM_PREFIX):
         return _decode_upstream(key[len(UPSTREAM_PREFIX) :], value)
-    if key.startswith(_OUT_OF_SERVICE_PREFIX):
-        return key[len(_OUT_OF_SERVICE_PREFIX) :]
+    if key.startswith(OUT_OF_SERVICE_PREFIX):
+        return key[len(OUT_OF_SERVICE_PREFIX) :]
     return None
 
 
--- a/shallotbridge/platform/store.py
+++ b/shallotbridge/platform/store.py
@@ -66,6 +66,7 @@
         return follower.ItemSource(
             read_all=functools.partial(self.read_all, prefix=prefix),
             watch=functools.partial(self.watch, prefix=prefix),
+            read_revision=self.read_revision,
         )
 
     async def read_all(self, may_be_stale=False, prefix=""):
@@ -107,6 +108,25 @@
                 return published_items, position
             after = page.items[-1].key
 
+    async def read_revision(self):
+        """Return the store's latest revision.
+
+        Reads the few items under one prefix, because each range response has
+        the revision.
+
+        Raises
+        ------
+        errors.PlatformUnavailableError
+        """
+        page = await self._get(
+            "/v1/kv-range",
+            {},
+            _RangeResponse,
+            RESPONSE_TIMEOUT_SECONDS,
+            items.OUT_OF_SERVICE_PREFIX,
+        )
+        return page.at
+
     async def read_nodes(self):
         """Return the addresses at which some upstreams are registered.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -19,6 +19,8 @@
 START_TIMEOUT_SECONDS = 30.0
 BURST_CHANGES = 6
 LINK_DELAY_SECONDS = 0.12
+# Time from the end of the watches to the loss of the history.
+COMPACTION_DELAY_SECONDS = 0.2
 
 
 def run_seed(seed, *, seconds, hosts, domains, older=None):
@@ -150,6 +152,12 @@
 
 
 async def _compact_history(fleet, host, seconds):
+    """Report no changes for a time, then drop the history."""
+    fleet.store.is_silent = True
+    await trio.sleep(seconds)
+    fleet.store.cut_watches()
+    await trio.sleep(COMPACTION_DELAY_SECONDS)
+    fleet.store.is_silent = False
     fleet.store.compact_history()
 
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -27,6 +27,8 @@
         If set, the status of all responses, to simulate an outage.
     is_unresponsive : bool
         Whether calls get no response.
+    is_silent : bool
+        Whether watches report no changes.
     configuration_delay_seconds : float
         Network delay of each watch response with a configuration, seconds.
     in_transit : int
@@ -39,11 +41,13 @@
         self.oldest_revision = 0
         self.status = None
         self.is_unresponsive = False
+        self.is_silent = False
         self.configuration_delay_seconds = 0.0
         self.in_transit = 0
         self.calls = []
         self._events = []
         self._changed = trio.Event()
+        self._cuts = trio.Event()
 
     def put(self, key, document):
         """Write an item; a dictionary is encoded as JSON."""
@@ -69,10 +73,18 @@
         )
 
     def compact_history(self):
-        """Compact the history: watches from older revisions get 410."""
+        """Compact the history: watches from older revisions get 410.
+
+        A watch that is waiting gets it only at the next change of an item
+        with its prefix.
+        """
         self.oldest_revision = self.revision
-        self._changed.set()
-        self._changed = trio.Event()
+        self._events.clear()
+
+    def cut_watches(self):
+        """End the connections of all waiting watches."""
+        self._cuts.set()
+        self._cuts = trio.Event()
 
     def _add_event(self, event):
         self._events.append(event)
@@ -113,19 +125,28 @@
 
     async def _watch(self, fields):
         after = int(fields["after"])
+        if after < self.oldest_revision:
+            return _response(410, {})
         events = []
+        cuts = self._cuts
         with trio.move_on_after(int(fields["wait_timeout_ms"]) / 1000):
-            while after >= self.oldest_revision:
+            while not cuts.is_set():
                 events = [
                     event
                     for event in self._events
                     if event["revision"] > after
                     and event["key"].startswith(fields["path_prefix"])
                 ]
-                if events:
+                if events and not self.is_silent:
                     break
-                await self._changed.wait()
-        if after < self.oldest_revision:
+                async with trio.open_nursery() as nursery:
+                    for event in (self._changed, cuts):
+                        nursery.start_soon(_cancel_after, event, nursery)
+        if cuts.is_set():
+            return b""
+        if self.is_silent:
+            events = []
+        if events and after < self.oldest_revision:
             return _response(410, {})
         response = _response(200, {"events": events, "at": self.revision})
         if any(event["key"] == "op/config" for event in events):
@@ -223,6 +244,11 @@
     )
 
 
+async def _cancel_after(event, nursery):
+    await event.wait()
+    nursery.cancel_scope.cancel()
+
+
 def _response(status, document):
     return model.Response(
         status=status, headers=(), body=json.dumps(document).encode()
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -55,16 +55,39 @@
 
 
 def _follower(
-    number, peers, *, members, watch=None, read_all=None, read_nodes=None
+    number,
+    peers,
+    *,
+    members,
+    watch=None,
+    read_all=None,
+    read_nodes=None,
+    read_revision=None,
 ):
+    """Return a follower and the actions that it logs.
+
+    By default no node is registered, and current reads and the latest
+    revision equal the follower's own copy.
+    """
     actions = []
 
     async def read_no_nodes():
         return []
 
+    async def read_own_copy(may_be_stale):
+        copy = node._mirror
+        return list(copy.items_by_key.values()), copy.position
+
+    async def read_own_revision():
+        return node._mirror.position
+
     node = follower.Follower(
         mirror=mirror.ItemMirror(),
-        source=follower.ItemSource(read_all=read_all, watch=watch),
+        source=follower.ItemSource(
+            read_all=read_all or read_own_copy,
+            watch=watch,
+            read_revision=read_revision or read_own_revision,
+        ),
         read_nodes=read_nodes or read_no_nodes,
         on_change=lambda: None,
         own_address=f"10.0.0.{number}",
@@ -132,9 +155,9 @@
     Attributes
     ----------
     calls : collections.Counter
-        Watches by the number of the node.
+        Calls by the number of the node.
     rejected : set of int
-        Numbers of the nodes whose watches fail.
+        Numbers of the nodes whose calls fail.
     """
 
     def __init__(self, *, change_seconds=0.5):
@@ -146,12 +169,30 @@
     def position(self):
         return 1 + int(trio.current_time() / self._change_seconds)
 
+    async def _begin_call(self, number):
+        self.calls[number] += 1
+        await trio.sleep(0.004)
+        if number in self.rejected:
+            raise errors.PlatformUnavailableError("503")
+
+    def read_all_of(self, number):
+        async def read_all(may_be_stale):
+            await self._begin_call(number)
+            now = self.position
+            return [_item("a", now, b"%d" % now)], now
+
+        return read_all
+
+    def read_revision_of(self, number):
+        async def read_revision():
+            await self._begin_call(number)
+            return self.position
+
+        return read_revision
+
     def watch_of(self, number):
         async def watch(position, seconds):
-            self.calls[number] += 1
-            await trio.sleep(0.004)
-            if number in self.rejected:
-                raise errors.PlatformUnavailableError("503")
+            await self._begin_call(number)
             with trio.move_on_after(seconds):
                 while self.position <= position:
                     await trio.sleep(0.01)
@@ -166,7 +207,12 @@
     members = range(1, nodes + 1)
     followers = [
         _follower(
-            number, peers, members=members, watch=platform.watch_of(number)
+            number,
+            peers,
+            members=members,
+            watch=platform.watch_of(number),
+            read_all=platform.read_all_of(number),
+            read_revision=platform.read_revision_of(number),
         )[0]
         for number in members
     ]
@@ -288,12 +334,15 @@
 
     async def read_all(may_be_stale):
         reads.append(may_be_stale)
-        return [_item("a", 3)], 3
-
-    async def watch(position, seconds):
+        if may_be_stale:
+            return [_item("a", 3)], 3
         await trio.sleep(0.05)
         return [_item("a", 5, b"new")], 5
 
+    async def watch(position, seconds):
+        await trio.sleep(seconds)
+        return [], position
+
     async def read_nodes():
         return [("10.0.0.1", "a")]
 
@@ -314,7 +363,7 @@
         assert node.is_current
         assert node._mirror.items_by_key["a"].value == b"new"
         nursery.cancel_scope.cancel()
-    assert reads == [True]
+    assert reads == [True, False]
 
 
 async def test_a_node_that_is_not_current_serves_no_pull(autojump_clock):
@@ -513,7 +562,9 @@
         node = follower.Follower(
             mirror=mirror.ItemMirror(),
             source=follower.ItemSource(
-                read_all=read_all, watch=platform.watch_of(number)
+                read_all=read_all,
+                watch=platform.watch_of(number),
+                read_revision=platform.read_revision_of(number),
             ),
             read_nodes=read_nodes,
             on_change=lambda: mirrored.__setitem__(slice(None), registered()),
@@ -613,7 +664,7 @@
     drops its history and breaks the watches
     (nw-remnant scale-2 --seed 650531121564, nw-remnant-grown scale-1).
     """
-    removed_at = 5.0
+    removed_at = 5.5
     is_watch_broken = False
 
     async def watch(position, seconds):
@@ -671,6 +722,15 @@
         return [], position
 
     async def read_all(may_be_stale):
+        now = trio.current_time()
+        if 4.0 <= now < back_at:
+            error = errors.PlatformUnavailableError("unavailable")
+            if how == "silent":
+                error.is_unanswered = True
+                await trio.sleep(1.0)
+            raise error
+        if now >= back_at:
+            return [_item("a", 1, b"1")], 3
         return [_item("a", 1, b"1"), _item("b", 1, b"2")], 1
 
     viewed = _ViewedFollower(watch, read_all)
@@ -755,3 +815,124 @@
     ]
     assert max(intervals) <= maximum_seconds
     assert min(intervals) >= 0.5 - 1e-6
+
+
+@pytest.mark.parametrize("is_watch_cut", [True, False])
+async def test_a_reader_does_not_take_a_silent_watch_as_proof(
+    autojump_clock, is_watch_cut
+):
+    """Guards against a confirmed change that is active seconds late.
+
+    The platform's watches report nothing for a second, in which a change is
+    made. Then its history is dropped, and the watches are cut or hang: a
+    watch from before is answered only at the next change (molarline-za-grown
+    scale-1: CONFIG at 5.447 s).
+    """
+    changed_at, dropped_at = 5.5, 6.0
+
+    def current():
+        if trio.current_time() < changed_at:
+            return [_item("a", 1, b"old")], 1
+        return [_item("a", 2, b"new")], 2
+
+    async def read_all(may_be_stale):
+        return current()
+
+    async def read_revision():
+        return current()[1]
+
+    async def watch(position, seconds):
+        with trio.move_on_after(seconds):
+            if trio.current_time() < dropped_at and is_watch_cut:
+                await trio.sleep_until(dropped_at)
+                raise errors.PlatformUnavailableError("the watch was cut")
+            await trio.sleep_forever()
+        return [], position
+
+    peers = _Peers()
+    nodes = [
+        _follower(
+            number,
+            peers,
+            members=(1, 2),
+            watch=watch,
+            read_all=read_all,
+            read_revision=read_revision,
+        )[0]
+        for number in (1, 2)
+    ]
+    for node in nodes:
+        _make_current(node, *current())
+    async with trio.open_nursery() as nursery:
+        for node in nodes:
+            nursery.start_soon(node._follow)
+        await trio.sleep_until(dropped_at + nodes[0]._watch_seconds)
+        for node in nodes:
+            assert node._mirror.items_by_key["a"].value == b"new"
+        nursery.cancel_scope.cancel()
+
+
+async def test_large_topics_are_read_rarely_to_confirm_a_silent_watch(
+    autojump_clock,
+):
+    """Guards against a reader's link that is busy with confirmations.
+
+    The revision of the platform changes all the time, but no item of the
+    topic, which has half a megabyte.
+    """
+    reads = []
+    size = 500_000
+
+    async def read_all(may_be_stale):
+        reads.append(trio.current_time())
+        now = int(trio.current_time())
+        return [_item("op/config", 1, b"x" * size)], max(1, now)
+
+    async def read_revision():
+        return int(trio.current_time()) + 1
+
+    async def watch(position, seconds):
+        await trio.sleep(seconds)
+        return [], position
+
+    node, _ = _follower(
+        1,
+        _Peers(),
+        members=(1,),
+        watch=watch,
+        read_all=read_all,
+        read_revision=read_revision,
+    )
+    _make_current(node, [_item("op/config", 1)], 1)
+    with trio.move_on_after(120.0):
+        await node._follow()
+    expected = 120.0 * follower.CONFIRMATION_BYTES_PER_SECOND / size
+    assert expected / 2 <= len(reads) <= expected + 1
+
+
+async def test_a_platform_without_history_is_not_called_in_a_loop(
+    autojump_clock,
+):
+    """Guards against hundreds of calls a second (nw-remnant, restored).
+
+    Each watch is answered 410 at once, whatever was read before.
+    """
+    calls = []
+
+    async def read_all(may_be_stale):
+        calls.append("read")
+        await trio.sleep(0.004)
+        return [_item("a", 1)], 1
+
+    async def watch(position, seconds):
+        calls.append("watch")
+        await trio.sleep(0.004)
+        raise errors.HistoryLostError("410")
+
+    node, _ = _follower(
+        1, _Peers(), members=(1,), watch=watch, read_all=read_all
+    )
+    _make_current(node, [_item("a", 1)], 1)
+    with trio.move_on_after(6.0):
+        await node._follow()
+    assert len(calls) <= 2 * 6.0 / follower.RETRY_DELAY_SECONDS + 2
--- a/tests/runtime/test_node.py
+++ b/tests/runtime/test_node.py
@@ -183,3 +183,29 @@
                 for node in mesh.nodes
             ):
                 await trio.sleep(0.02)
+
+
+async def test_a_change_while_watches_are_silent_is_active_in_time():
+    """Guards against a confirmed change that is not active in time.
+
+    The store's watches report nothing while a configuration is written and an
+    upstream leaves. Then the watches are cut, and shortly afterwards the
+    history is dropped (molarline-za-grown scale-1: CONFIG at 5.447 s).
+    """
+    maximum_apply_seconds = 2.0
+    async with loopback.start_mesh(5) as mesh:
+        mesh.store.is_silent = True
+        mesh.store.put("op/config", dict(test_items.CONFIGURATION, version=9))
+        mesh.store.delete("servers/i-3")
+        with trio.fail_after(maximum_apply_seconds):
+            await trio.sleep(0.8)
+            mesh.store.cut_watches()
+            await trio.sleep(0.2)
+            mesh.store.is_silent = False
+            mesh.store.compact_history()
+            while not all(
+                node.read_view().configuration.version == 9
+                and "i-3" not in node.read_view().upstreams_by_id
+                for node in mesh.nodes
+            ):
+                await trio.sleep(0.02)
