Serve pulls again as soon as the platform answers

Callers would see: an older configuration for up to 2 s more (CONFIG). Cause: a node excludes itself as reader for 2 s after a failed call. If all reader candidates of a domain fail at the same moment, as at a cut of all watches, one of them reads again at once, but kept refusing the others' pulls until its exclusion ended. Change: an answer of the platform ends the own exclusion.

--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -647,6 +647,7 @@
     def _on_platform_available(self):
         self._outage_ended_at = self.outage_ended_at
         self._outage_began_at = None
+        self._tree.include_reader(self._own_address)
         if not self._is_platform_available:
             self._is_platform_available = True
             self._record("platform_regained", position=self._mirror.position)
--- a/shallotbridge/distribution/tree.py
+++ b/shallotbridge/distribution/tree.py
@@ -131,6 +131,10 @@
         until = trio.current_time() + EXCLUSION_SECONDS
         self._reader_excluded_until[address] = until
 
+    def include_reader(self, address):
+        """End the exclusion of a node as reader."""
+        self._reader_excluded_until.pop(address, None)
+
     def is_excluded_reader(self, address):
         """Return whether the platform has recently rejected a node."""
         now = trio.current_time()
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -266,6 +266,30 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_a_domain_recovers_when_all_reader_candidates_failed_at_once(
+    autojump_clock,
+):
+    """Guards against nodes that wait for each other after a short outage.
+
+    Both nodes of a domain have just started and watch, so that both fail. One
+    of them reads again at once, but refused the other's pulls for 2 s.
+    """
+    maximum_apply_seconds = 2.0
+    outage_seconds = 0.5
+    platform = _Platform(change_seconds=10.0)
+    _, followers = _domain(platform, 2)
+    await trio.sleep_until(10.0 + outage_seconds)
+    for node in followers.values():
+        node._exclude_reader(node._own_address)
+    async with trio.open_nursery() as nursery:
+        for node in followers.values():
+            nursery.start_soon(node._follow)
+        await trio.sleep_until(10.0 + maximum_apply_seconds)
+        for node in followers.values():
+            assert node._mirror.position == 2
+        nursery.cancel_scope.cancel()
+
+
 async def test_few_nodes_call_a_platform_that_is_down(autojump_clock):
     """Guards against calls by whole domains during a platform outage.
 
