Refuse a request that has ended three upstreams

Cause: nothing on the users' platform attributed the crash of an upstream to the requests in flight; each new attempt was a request like any other, at every node. Change: traffic/crash_records.py, one bounded table in each node. The owner node notes the requests in flight at a lost connection, and a health check tells a crash from a reset; planned stops count for nothing. Only the requests with most crashes so far are blamed; one that completes anywhere is cleared and never refused. News goes to the gossip peers at once, and each gossip ping and its answer carry the latest 32 records, so a cut that heals and a restart lose nothing. Fields are added at the end of Ping and Pong: older builds skip them and send none.

--- a/shallotbridge/_generated/link.py
+++ b/shallotbridge/_generated/link.py
@@ -150,6 +150,25 @@
     load: Load
 
 
+class CrashRecord(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag=12,
+    gc=False,
+):
+    """A request that was in flight when upstreams crashed."""
+
+    # digest of the request
+    fingerprint: int
+    # digests of the incarnations that crashed
+    crash_ids: tuple[int, ...]
+    # the request completed afterwards
+    is_cleared: bool
+    # time since the last of the crashes
+    age_ms: float
+
+
 class Ping(
     msgspec.Struct,
     frozen=True,
@@ -168,6 +187,10 @@
     # the same of its copy of the configuration
     configuration_position: int = 0
     configuration_digest: int = 0
+    # the answer is to have the receiver's crash records
+    is_gossip: bool = False
+    # the sender's latest ones
+    crash_records: tuple[CrashRecord, ...] = ()
 
 
 class Pong(
@@ -180,6 +203,8 @@
     """Answers a Ping."""
 
     load: Load
+    # the sender's latest ones
+    crash_records: tuple[CrashRecord, ...] = ()
 
 
 class Pull(
--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -110,6 +110,8 @@
         ``link_to(address)`` returns the ``PeerLink`` to a node.
     topic : int
         ``UPSTREAMS`` or ``CONFIGURATION``.
+    gossip : callable
+        ``gossip(link)`` sends a ping on the ``PeerLink`` to a gossip peer.
     maximum_apply_seconds : float
         Longest time until a published change must be active.
     report_interval_seconds : float
@@ -140,6 +142,7 @@
         report_interval_seconds,
         random,
         topic=UPSTREAMS,
+        gossip=lambda peer: peer.ping(),
         record=decisions.record,
     ):
         self._mirror = mirror
@@ -156,6 +159,7 @@
             list_peers=list_peers,
         )
         self._link_to = link_to
+        self._send_gossip = gossip
         self._batch_window_seconds = maximum_apply_seconds * BATCH_WINDOW_RATIO
         self._watch_seconds = min(WATCH_TIMEOUT_SECONDS, maximum_apply_seconds)
         self._minimum_expiry_seconds = (
@@ -591,6 +595,10 @@
             except _PULL_ERRORS as error:
                 self._record_pull_failure(address, error)
 
+    def gossip_peers(self):
+        """Return the addresses of the nodes that this one pings."""
+        return self._tree.gossip_peers(set())
+
     async def _gossip(self):
         """Ping other nodes to detect whether this one is behind."""
         unreachable = set()
@@ -612,7 +620,7 @@
                 unreachable.add(address)
                 continue
             unreachable.clear()
-            peer.ping()
+            self._send_gossip(peer)
 
     def _notify(self):
         self._wake_pulls()
--- a/shallotbridge/peers/links.py
+++ b/shallotbridge/peers/links.py
@@ -63,6 +63,9 @@
         which has the revisions of its mirrors.
     on_load_report : callable
         ``on_load_report(address, load)`` is called with each Load of the peer.
+    on_crash_records : callable
+        ``on_crash_records(records)`` is called with the crash records of the
+        peer that come with a Pong.
     on_reachability_changed : callable
         ``on_reachability_changed(address, is_reachable, reason)`` is called
         when the peer becomes reachable or unreachable.
@@ -82,6 +85,7 @@
         on_position,
         on_load_report,
         on_reachability_changed,
+        on_crash_records=lambda records: None,
         keepalive_seconds=KEEPALIVE_SECONDS,
     ):
         self.address = address
@@ -92,6 +96,7 @@
         self._on_position = on_position
         self._on_load_report = on_load_report
         self._on_reachability_changed = on_reachability_changed
+        self._on_crash_records = on_crash_records
         self._keepalive_seconds = keepalive_seconds
         self._call_ids = itertools.count(1)
         self._calls_by_id = {}
@@ -262,6 +267,8 @@
             if load is not None:
                 self._on_load_report(self.address, load)
                 self._on_position(self.address, load)
+            if type(message) is link.Pong and message.crash_records:
+                self._on_crash_records(message.crash_records)
             call = self._calls_by_id.get(getattr(message, "call_id", None))
             if call is not None:
                 call.reply = message
@@ -330,7 +337,7 @@
             return False
         return not self._calls_by_id
 
-    def _send_ping(self, writer, now):
+    def _send_ping(self, writer, now, **gossip):
         states = self._read_mirror_states()
         writer.send(
             link.Ping(
@@ -339,14 +346,25 @@
                 digest=states.upstreams.digest,
                 configuration_position=states.configuration.position,
                 configuration_digest=states.configuration.digest,
+                **gossip,
             )
         )
 
     def ping(self):
         """Request the peer's load and revisions if it is connected."""
+        self._ping()
+
+    def exchange_crash_records(self, records):
+        """Send crash records and request the peer's if it is connected.
+
+        The reply comes with the load and the revisions, as that to a ping.
+        """
+        self._ping(is_gossip=True, crash_records=records)
+
+    def _ping(self, **gossip):
         if self._stream is not None:
             try:
-                self._send_ping(self._writer, trio.current_time())
+                self._send_ping(self._writer, trio.current_time(), **gossip)
             except trio.BrokenResourceError:
                 self._scope.cancel()
 
--- a/shallotbridge/peers/server.py
+++ b/shallotbridge/peers/server.py
@@ -26,13 +26,25 @@
     on_position : callable
         ``on_position(address, ping)`` is called with each Ping, which has the
         revisions of the peer's copies.
+    exchange_crash_records : callable
+        ``exchange_crash_records(records)`` is called with the crash records
+        of a Ping, and returns those of this node.
     """
 
-    def __init__(self, *, run_work, answer_pull, read_load, on_position):
+    def __init__(
+        self,
+        *,
+        run_work,
+        answer_pull,
+        read_load,
+        on_position,
+        exchange_crash_records=lambda records: (),
+    ):
         self._run_work = run_work
         self._answer_pull = answer_pull
         self._read_load = read_load
         self._on_position = on_position
+        self._exchange_crash_records = exchange_crash_records
         self.connection_count = 0
 
     async def handle(self, stream):
@@ -102,7 +114,12 @@
         elif kind is link.Ping:
             transit_delays.measure(message.sent_at)
             self._on_position(stream.peer_address, message)
-            writer.send(link.Pong(load=self._read_load()))
+            records = ()
+            if message.is_gossip:
+                records = self._exchange_crash_records(message.crash_records)
+            writer.send(
+                link.Pong(load=self._read_load(), crash_records=records)
+            )
         elif kind is link.Pull:
             nursery.start_soon(self._serve_pull, message, writer)
 
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -17,6 +17,7 @@
 from ..peers import links as peer_links
 from ..peers import server as peer_server
 from ..traffic import client_connections
+from ..traffic import crash_records
 from ..traffic import departures
 from ..traffic import entry
 from ..traffic import model
@@ -162,6 +163,9 @@
             ),
             link_to=self._get_link,
             topic=follower.UPSTREAMS,
+            gossip=lambda peer: peer.exchange_crash_records(
+                self._crash_records.export()
+            ),
         )
         self._configuration_mirror = mirror.ItemMirror()
         self._configuration_follower = make_follower(
@@ -179,6 +183,7 @@
             random=random,
         )
         self._traffic_splitter = routing.TrafficSplitter()
+        self._crash_records = crash_records.CrashRecords()
         self._owner = owner.OwnerServer(
             own_host=own_host,
             header_names=header_names,
@@ -188,6 +193,8 @@
             cold_multiplier=settings.cold_multiplier,
             cold_slack=settings.cold_slack,
             on_leaving=self._on_upstream_leaving,
+            known_crashes=self._crash_records,
+            on_crash_records_changed=self._spread_crash_records,
         )
         self._entry = entry.EntryServer(
             own_host=own_host,
@@ -203,6 +210,7 @@
             random=random,
             count=metrics.count,
             on_leaving=self._on_upstream_leaving,
+            known_crashes=self._crash_records,
         )
         self._client_connections = client_connections.ClientConnections(
             handle_request=self._entry.handle_request,
@@ -214,6 +222,7 @@
             answer_pull=self._answer_pull,
             read_load=self._owner.load,
             on_position=self._on_position,
+            exchange_crash_records=self._exchange_crash_records,
         )
         self._register_metrics()
 
@@ -262,6 +271,7 @@
             self._links_by_address,
             address,
             on_reachability_changed=self._on_reachability_changed,
+            on_crash_records=self._merge_crash_records,
             keepalive_seconds=peer_links.KEEPALIVE_SECONDS,
         )
 
@@ -353,6 +363,40 @@
             )
         self._selector.on_load_report(address, load, trio.current_time())
 
+    # Requests that end upstreams.
+
+    def _merge_crash_records(self, records):
+        """Add the crash records of another node; pass on what is new."""
+        barred_before = self._crash_records.barred_count
+        if not self._crash_records.merge(records):
+            return
+        barred = self._crash_records.barred_count
+        if barred != barred_before:
+            decisions.record(
+                "requests_barred", chosen=barred, previous=barred_before
+            )
+        self._spread_crash_records()
+
+    def _exchange_crash_records(self, records):
+        self._merge_crash_records(records)
+        return self._crash_records.export()
+
+    def _spread_crash_records(self):
+        """Send news of crashes to the gossip peers at once."""
+        for address in self._upstream_follower.gossip_peers():
+            self._nursery.start_soon(
+                supervision.keep_running, self._send_crash_records, address
+            )
+
+    async def _send_crash_records(self, address):
+        peer = self._get_link(address)
+        try:
+            await peer.connect()
+        except errors.UpstreamUnreachableError:
+            # The periodic gossip tells this peer when it is back.
+            return
+        peer.exchange_crash_records(self._crash_records.export())
+
     def _on_reachability_changed(self, address, is_reachable, reason):
         if self._is_reachable_by_address.get(address) is not is_reachable:
             self._is_reachable_by_address[address] = is_reachable
@@ -634,6 +678,8 @@
             "upstreams_limited",
             lambda: self._selector.limited_count(trio.current_time()),
         )
+        gauge("crash_records", lambda: len(self._crash_records))
+        gauge("requests_barred", lambda: self._crash_records.barred_count)
         gauge("upstreams_leaving_total", lambda: len(self._departures))
         gauge("limit_refusals_total", lambda: self._owner.limit_refused_count)
         gauge(
--- /dev/null
+++ b/shallotbridge/traffic/crash_records.py
@@ -0,0 +1,243 @@
+"""Requests that end the upstreams that run them.
+
+Each node keeps the same bounded table: owner nodes add the crashes of their
+upstreams, and gossip merges the tables of all nodes.
+"""
+
+import collections
+import dataclasses
+import hashlib
+
+import trio
+
+from .._generated import link
+from ..core import errors
+
+# Number of upstreams that a request may end before it is refused.
+CRASH_LIMIT = 3
+# How long after its last crash a request is refused. A client that repeats it
+# later may end as many upstreams again.
+RECORD_SECONDS = 600.0
+MAXIMUM_RECORDS = 1000
+# Number of records in one message between nodes, the latest ones first.
+MAXIMUM_SENT_RECORDS = 32
+# Requests that completed within this time are not blamed for a crash.
+SUCCESS_SECONDS = 30.0
+MAXIMUM_SUCCESSES = 4096
+# Digests must fit into a signed 64-bit integer on the wire.
+_DIGEST_BYTES = 7
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Record:
+    """Crashes in which a request was in flight.
+
+    Attributes
+    ----------
+    crash_ids : frozenset of int
+        At most ``CRASH_LIMIT`` incarnations of upstreams that ended.
+    is_cleared : bool
+        Whether the request completed after the first of them.
+    crashed_at : float
+        Time of the last known crash on trio's clock.
+    """
+
+    crash_ids: frozenset
+    is_cleared: bool
+    crashed_at: float
+
+
+class CrashRecords:
+    """The requests that were in flight when upstreams crashed.
+
+    A request that completes anywhere in the fleet ends no upstreams and is
+    never refused, so requests beside a harmful one, and frequent requests
+    with equal content, stay usable.
+
+    Records only grow until they expire, so tables can be merged in any order.
+    """
+
+    def __init__(self):
+        self._records_by_fingerprint = collections.OrderedDict()
+        self._succeeded_at_by_fingerprint = collections.OrderedDict()
+
+    def __len__(self):
+        return len(self._records_by_fingerprint)
+
+    @property
+    def barred_count(self):
+        """Number of requests that are refused."""
+        return sum(map(self.is_barred, list(self._records_by_fingerprint)))
+
+    def is_barred(self, fingerprint):
+        """Return whether a request is refused."""
+        return self.crash_count(fingerprint) >= CRASH_LIMIT
+
+    def crash_count(self, fingerprint):
+        """Return how many upstreams a request has ended, as far as known."""
+        record = self._records_by_fingerprint.get(fingerprint)
+        if record is None or record.is_cleared:
+            return 0
+        if record.crashed_at + RECORD_SECONDS <= trio.current_time():
+            del self._records_by_fingerprint[fingerprint]
+            return 0
+        return len(record.crash_ids)
+
+    def check(self, fingerprint):
+        """Raise an error for a request that is refused.
+
+        Raises
+        ------
+        errors.QuarantinedError
+        """
+        if not self.is_barred(fingerprint):
+            return
+        crashed_at = self._records_by_fingerprint[fingerprint].crashed_at
+        seconds = crashed_at + RECORD_SECONDS - trio.current_time()
+        error = errors.QuarantinedError(
+            f"request {fingerprint:x} was in flight when {CRASH_LIMIT} "
+            f"upstreams crashed; it is refused for another {seconds:.0f} s"
+        )
+        error.retry_after = seconds
+        raise error
+
+    def on_crash(self, fingerprints, crash_id):
+        """Add the crash of an upstream with requests in flight.
+
+        Only those that were in flight at most crashes before are blamed, as
+        one request ends an upstream. Requests that completed shortly before
+        are not.
+
+        Parameters
+        ----------
+        fingerprints : iterable of int
+        crash_id : int
+            See ``make_crash_id``.
+
+        Returns
+        -------
+        tuple of int
+            The fingerprints that are blamed.
+        """
+        now = trio.current_time()
+        counts_by_fingerprint = {
+            fingerprint: self.crash_count(fingerprint)
+            for fingerprint in fingerprints
+            if not self._has_succeeded(fingerprint, now)
+        }
+        highest = max(counts_by_fingerprint.values(), default=0)
+        blamed = tuple(
+            fingerprint
+            for fingerprint, count in counts_by_fingerprint.items()
+            if count == highest
+        )
+        for fingerprint in blamed:
+            self._add(fingerprint, frozenset((crash_id,)), False, now)
+        return blamed
+
+    def on_success(self, fingerprint):
+        """Note that a request has completed; return whether that is news."""
+        now = trio.current_time()
+        succeeded = self._succeeded_at_by_fingerprint
+        succeeded[fingerprint] = now
+        succeeded.move_to_end(fingerprint)
+        if len(succeeded) > MAXIMUM_SUCCESSES:
+            succeeded.popitem(last=False)
+        if fingerprint not in self._records_by_fingerprint:
+            return False
+        return self._add(fingerprint, frozenset(), True, now)
+
+    def merge(self, records):
+        """Add the records of another node; return whether any is news.
+
+        Parameters
+        ----------
+        records : iterable of link.CrashRecord
+        """
+        now = trio.current_time()
+        is_news = False
+        for record in records:
+            age_seconds = max(0.0, record.age_ms / 1000)
+            if not age_seconds < RECORD_SECONDS:
+                continue
+            is_news |= self._add(
+                record.fingerprint,
+                frozenset(record.crash_ids[:CRASH_LIMIT]),
+                record.is_cleared
+                or self._has_succeeded(record.fingerprint, now),
+                now - age_seconds,
+            )
+        return is_news
+
+    def export(self):
+        """Return the latest records as ``link.CrashRecord``."""
+        now = trio.current_time()
+        self._drop_expired(now)
+        latest = list(self._records_by_fingerprint.items())
+        return tuple(
+            link.CrashRecord(
+                fingerprint=fingerprint,
+                crash_ids=tuple(sorted(record.crash_ids)),
+                is_cleared=record.is_cleared,
+                age_ms=(now - record.crashed_at) * 1000,
+            )
+            for fingerprint, record in latest[-MAXIMUM_SENT_RECORDS:]
+        )
+
+    def _has_succeeded(self, fingerprint, now):
+        at = self._succeeded_at_by_fingerprint.get(fingerprint)
+        return at is not None and now - at < SUCCESS_SECONDS
+
+    def _add(self, fingerprint, crash_ids, is_cleared, crashed_at):
+        """Merge into the record of a request; return whether it changed."""
+        known = self._records_by_fingerprint.get(fingerprint)
+        if known is not None:
+            crash_ids = frozenset(
+                sorted(known.crash_ids | crash_ids)[:CRASH_LIMIT]
+            )
+            is_cleared |= known.is_cleared
+            if (crash_ids, is_cleared) == (known.crash_ids, known.is_cleared):
+                return False
+            crashed_at = max(crashed_at, known.crashed_at)
+        self._records_by_fingerprint[fingerprint] = _Record(
+            crash_ids=crash_ids, is_cleared=is_cleared, crashed_at=crashed_at
+        )
+        self._records_by_fingerprint.move_to_end(fingerprint)
+        self._drop_expired(trio.current_time())
+        while len(self._records_by_fingerprint) > MAXIMUM_RECORDS:
+            self._records_by_fingerprint.popitem(last=False)
+        return True
+
+    def _drop_expired(self, now):
+        for fingerprint, record in list(self._records_by_fingerprint.items()):
+            if record.crashed_at + RECORD_SECONDS > now:
+                break
+            del self._records_by_fingerprint[fingerprint]
+
+
+def make_fingerprint(*, method, target, host, caller_service, body):
+    """Return a digest that is equal for a request and its repetitions.
+
+    Examples
+    --------
+    >>> make_fingerprint(
+    ...     method="GET", target="/a", host="h", caller_service="s", body=b""
+    ... ) == make_fingerprint(
+    ...     method="GET", target="/b", host="h", caller_service="s", body=b""
+    ... )
+    False
+    """
+    head = "\n".join((method, target, host or "", caller_service or ""))
+    return _digest(head.encode("utf-8", "surrogateescape"), body)
+
+
+def make_crash_id(upstream_id, started_ms):
+    """Return a digest of an incarnation of an upstream."""
+    return _digest(f"{upstream_id}\n{started_ms}".encode(), b"")
+
+
+def _digest(head, body):
+    digest = hashlib.blake2b(head, digest_size=_DIGEST_BYTES)
+    digest.update(b"\n\n")
+    digest.update(body)
+    return int.from_bytes(digest.digest(), "big")
--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -21,6 +21,7 @@
 from ..core import errors
 from ..core import http1_encoding
 from ..core import model as messages
+from . import crash_records
 from . import hedging
 from . import routing
 from . import self_report
@@ -105,6 +106,7 @@
     on_leaving : callable
         ``on_leaving(upstream_id, started_ms, **source)`` is called when an
         answer says that its upstream is leaving.
+    known_crashes : crash_records.CrashRecords, optional
     random : random.Random
     count : callable
         ``count(name)`` increments a counter; ``count(name, seconds)`` records
@@ -129,6 +131,7 @@
         random,
         count,
         on_leaving=lambda upstream_id, started_ms, **source: None,
+        known_crashes=None,
         record=decisions.record,
     ):
         self._own_host = own_host
@@ -145,6 +148,9 @@
         self._random = random
         self._count = count
         self._on_leaving = on_leaving
+        if known_crashes is None:
+            known_crashes = crash_records.CrashRecords()
+        self._known_crashes = known_crashes
         self._record = record
         self._is_hedging_stopped = False
         # End of the drain, on trio's clock; infinite before one.
@@ -286,6 +292,13 @@
             headers=tuple(headers),
             started_at=now,
             deadline_at=now + seconds,
+            fingerprint=crash_records.make_fingerprint(
+                method=request.method,
+                target=request.target,
+                host=request.header("host"),
+                caller_service=self._own_host.service,
+                body=request.body,
+            ),
         )
 
     async def _route_call(self, call):
@@ -378,7 +391,9 @@
         now = trio.current_time()
         expected_duration = self._selector.expected_seconds(call.route)
         return (
-            self._selector.service_failure_ratio(call.service)
+            self._known_crashes.crash_count(call.fingerprint)
+            < crash_records.CRASH_LIMIT - 1
+            and self._selector.service_failure_ratio(call.service)
             < MAXIMUM_RETRY_FAILURE_RATIO
             and call.attempts < call.route.maximum_attempts
             and now + expected_duration * RETRY_DURATION_RATIO
@@ -469,6 +484,7 @@
     async def _send(self, call):
         """Send a request to the best owner node and return the answer."""
         now = trio.current_time()
+        self._known_crashes.check(call.fingerprint)
         if now >= call.deadline_at:
             raise errors.DeadlineBeforeSendError(
                 "the deadline passed before an owner node was chosen"
@@ -652,10 +668,15 @@
     def _failure_response(self, error, call, request):
         """Return the response to a request without an upstream's answer."""
         status = error.status
-        if error.outcome is errors.Outcome.NOT_RUN and status >= 429:
+        is_quarantined = isinstance(error, errors.QuarantinedError)
+        if (
+            error.outcome is errors.Outcome.NOT_RUN
+            and status >= 429
+            and not is_quarantined
+        ):
             status = 503
         retry_after = None
-        if status == 503:
+        if status == 503 or is_quarantined:
             retry_after = self._retry_after_seconds(error)
         if call is None:
             self._record(
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -11,6 +11,7 @@
 from ..core import decisions
 from ..core import errors
 from ..core import supervision
+from . import crash_records
 from . import model
 from . import rate_limit
 from . import self_report
@@ -44,6 +45,9 @@
 # An upstream counts as down after this many unanswered health checks, if no
 # request was answered either.
 UNANSWERED_PROBE_THRESHOLD = 2
+# A lost connection is put down to a crash if a health check shows the crash
+# within this time.
+CRASH_CONFIRMATION_SECONDS = 2.0
 # The configured bound of a cold upstream's request rate is a multiple of its
 # tolerated rate plus a slack. These fractions of the two are used; the rest is
 # a margin for requests that arrive closer together than they were sent.
@@ -80,6 +84,9 @@
     on_leaving : callable
         ``on_leaving(upstream_id, started_ms, **source)`` is called when an
         answer says that the upstream is leaving.
+    known_crashes : crash_records.CrashRecords, optional
+    on_crash_records_changed : callable
+        Called without arguments after this node has changed the records.
     record : callable
         ``record(action, **fields)`` writes the decision log.
     """
@@ -95,6 +102,8 @@
         cold_multiplier,
         cold_slack,
         on_leaving=lambda upstream_id, started_ms, **source: None,
+        known_crashes=None,
+        on_crash_records_changed=lambda: None,
         record=decisions.record,
     ):
         self._own_host = own_host
@@ -104,6 +113,16 @@
         self._cold_multiplier = cold_multiplier
         self._cold_slack = cold_slack
         self._on_leaving = on_leaving
+        if known_crashes is None:
+            known_crashes = crash_records.CrashRecords()
+        self._known_crashes = known_crashes
+        self._on_crash_records_changed = on_crash_records_changed
+        # Fingerprints of the requests at the upstream, by ticket.
+        self._fingerprints_by_ticket = {}
+        # Requests in flight at lost connections, until a health check tells
+        # whether the upstream has crashed.
+        self._crash_candidates = set()
+        self._candidates_since = -math.inf
         self._record = record
         self._cold_start = cold_start.ColdStartLimiter()
         self._rate_limiter = rate_limit.RateLimiter()
@@ -359,13 +378,15 @@
         started = now
         try:
             self._check_target(work)
+            fingerprint = self._make_fingerprint(work)
+            self._known_crashes.check(fingerprint)
             self._count_sender(work.sender, now)
             self._adopt_limit(work)
             ticket, decision = self._offer(work, now, delay)
             await self._wait_for_slot(ticket, decision)
             started = trio.current_time()
             view_at_send = self._read_mirror_states().upstreams
-            response = await self._send(work, ticket)
+            response = await self._send(work, ticket, fingerprint)
         except errors.CallError as error:
             return self._reply_error(work, error, now, started)
         run_seconds = trio.current_time() - started
@@ -479,10 +500,21 @@
         if decision.error is not None:
             raise decision.error
 
-    async def _send(self, work, ticket):
+    def _make_fingerprint(self, work):
+        headers = dict(work.headers)
+        return crash_records.make_fingerprint(
+            method=work.method,
+            target=work.target,
+            host=headers.get("host"),
+            caller_service=headers.get(self._header_names.caller_service),
+            body=work.body,
+        )
+
+    async def _send(self, work, ticket, fingerprint):
         is_completed = False
         now = trio.current_time()
         try:
+            self._known_crashes.check(fingerprint)
             # The upstream may have begun to leave since the slot was granted.
             if isinstance(error := self._closed_error(), errors.LeavingError):
                 raise error
@@ -491,7 +523,10 @@
                     "the deadline passed before the request was sent"
                 )
             request = self._make_request(work, ticket.deadline_at - now)
+            self._fingerprints_by_ticket[ticket] = fingerprint
             response = await self._exchange(work, request, ticket)
+            if self._known_crashes.on_success(fingerprint):
+                self._on_crash_records_changed()
             self._last_answer_at = now = trio.current_time()
             is_completed = True
             self._admission.on_completed(ticket, now)
@@ -504,10 +539,17 @@
                 self._on_upstream_failure("another instance", is_down=False)
             raise
         except errors.OutcomeUnknownError as error:
+            if not isinstance(
+                error, (errors.AnswerMismatchError, errors.AnswerTooLargeError)
+            ):
+                # The connection was reset, or closed before the whole answer.
+                self._add_crash_candidates()
+                self._probe_requested.set()
             if error.is_connection_lost:
                 self._on_upstream_failure("connection lost", is_down=False)
             raise
         finally:
+            self._fingerprints_by_ticket.pop(ticket, None)
             if not is_completed:
                 self._admission.on_aborted(ticket, trio.current_time())
 
@@ -534,6 +576,51 @@
             self._cancellable_scopes.discard(scope)
         raise errors.OutcomeUnknownError("the upstream stopped responding")
 
+    # Crashes of the upstream.
+
+    def _add_crash_candidates(self):
+        """Note the requests in flight at a lost connection."""
+        now = trio.current_time()
+        if now - self._candidates_since > CRASH_CONFIRMATION_SECONDS:
+            self._crash_candidates.clear()
+            self._candidates_since = now
+        self._crash_candidates.update(self._fingerprints_by_ticket.values())
+
+    def _on_crash(self, reason):
+        """Blame the requests in flight at a crash of the upstream.
+
+        Connections that are lost at a planned stop show no crash, and
+        neither does one that is lost while the upstream stays up.
+        """
+        candidates, self._crash_candidates = self._crash_candidates, set()
+        registered = self._registered
+        now = trio.current_time()
+        if (
+            not candidates
+            or now - self._candidates_since > CRASH_CONFIRMATION_SECONDS
+            or registered is None
+            or isinstance(self._closed_error(), errors.LeavingError)
+        ):
+            return
+        crash_id = crash_records.make_crash_id(
+            registered.upstream_id, registered.started_ms
+        )
+        blamed = self._known_crashes.on_crash(candidates, crash_id)
+        self._report_log.record(
+            "upstream_crashed",
+            now,
+            chosen=registered.upstream_id,
+            started_ms=registered.started_ms,
+            reason=reason,
+            in_flight=len(candidates),
+            blamed=[
+                [f"{each:x}", self._known_crashes.crash_count(each)]
+                for each in blamed
+            ],
+        )
+        if blamed:
+            self._on_crash_records_changed()
+
     def _make_request(self, work, remaining):
         header_names = self._header_names
         return upstream_client.make_request(
@@ -790,6 +877,7 @@
             # A refusal, such as for lack of slots, shows that it is up.
             self._on_upstream_up(started_at)
         except errors.UpstreamUnreachableError as error:
+            self._on_crash(error.detail)
             self._on_upstream_down(error.detail)
         except errors.CallError as error:
             if self._last_answer_at >= started_at:
@@ -808,7 +896,12 @@
         """Update the instance id and the cold start from a health check."""
         now = trio.current_time()
         instance_id = response.header(self._header_names.instance)
+        if instance_id is not None and instance_id == self._instance_id:
+            # The connections were reset without a crash.
+            self._crash_candidates.clear()
         if instance_id is not None and instance_id != self._instance_id:
+            if self._instance_id is not None:
+                self._on_crash(f"restarted as {instance_id}")
             self._record(
                 "upstream_instance",
                 chosen=instance_id,
--- a/standins/store.py
+++ b/standins/store.py
@@ -14,6 +14,7 @@
 from shallotbridge.core import http1
 from shallotbridge.core import http1_encoding
 from shallotbridge.core import model
+from shallotbridge.transports import tcp
 
 PAGE_ITEMS = 50
 
@@ -173,6 +174,10 @@
         Number of further requests that it refuses.
     cut_response : bytes or None
         If set, sent in place of each answer before the connection is closed.
+    crashing_target : str or None
+        Path and query of the requests that end it; see ``serve_upstream``.
+    crash_count : int
+        Number of times that it has ended.
     """
 
     def __init__(self, instance_id, *, seconds=0.01):
@@ -184,6 +189,9 @@
         self.leaving = None
         self.refusals_left = 0
         self.cut_response = None
+        self.crashing_target = None
+        self.crash_count = 0
+        self.crashed = trio.Event()
         self.cold_ms = 0
         self.may_respond = trio.Event()
         self.may_respond.set()
@@ -216,6 +224,10 @@
             self.refusals_left -= 1
             return make_refusal(request)
         self.requests.append(request)
+        if request.target == self.crashing_target:
+            await trio.sleep(self.seconds)
+            self.crash()
+            return b""
         if self.cut_response is not None:
             return self.cut_response
         await trio.sleep(self.seconds)
@@ -230,6 +242,47 @@
             body=f"{self.instance_id} {request_id}".encode(),
         )
 
+    def crash(self):
+        """End all connections and refuse new ones for a time."""
+        self.crash_count += 1
+        self.crashed.set()
+
+
+async def serve_upstream(
+    state,
+    address,
+    port,
+    *,
+    down_seconds=1.0,
+    repeats_refusals=False,
+    task_status=trio.TASK_STATUS_IGNORED,
+):
+    """Serve an upstream until cancelled, and again after each crash.
+
+    Parameters
+    ----------
+    state : UpstreamState
+    address : str
+    port : int
+    down_seconds : float
+        Time from a crash until it accepts connections again.
+    repeats_refusals : bool
+        See ``make_handler``.
+    """
+    handler = make_handler(
+        state.handle_request, repeats_refusals=repeats_refusals
+    )
+    while True:
+        state.crashed = trio.Event()
+        async with trio.open_nursery() as nursery:
+            await nursery.start(tcp.serve, address, port, handler)
+            if task_status is not None:
+                task_status.started()
+                task_status = None
+            await state.crashed.wait()
+            nursery.cancel_scope.cancel()
+        await trio.sleep(down_seconds)
+
 
 def make_refusal(request):
     """Return the refusal of a request that was not run."""
--- a/tests/peers/test_frames.py
+++ b/tests/peers/test_frames.py
@@ -48,7 +48,7 @@
     The build before the limits ends the message four fields earlier.
     """
     fields = _fields(link.Pong(load=LOAD))
-    del fields[-1][-4:]
+    del fields[1][-4:]
     message = await _decode(fields)
     assert message.load.limit == -1.0
     assert message.load.leaving_id == ""
@@ -59,6 +59,6 @@
     """Guards against an older node that refuses the frames of a newer one."""
     load = msgspec.structs.replace(LOAD, limit=limit)
     fields = _fields(link.Pong(load=load))
-    fields[-1].append("of a newer build")
+    fields[1].append("of a newer build")
     message = await _decode(fields + [7])
     assert message.load == load
--- a/tests/runtime/loopback.py
+++ b/tests/runtime/loopback.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import functools
 import itertools
 import random
 
@@ -79,13 +80,13 @@
         upstream = store_standin.UpstreamState(f"i-{number}")
         self.upstreams.append(upstream)
         await self.nursery.start(
-            tcp.serve,
-            address,
-            UPSTREAM_PORT,
-            store_standin.make_handler(
-                upstream.handle_request,
+            functools.partial(
+                store_standin.serve_upstream,
                 repeats_refusals=self._repeats_refusals,
             ),
+            upstream,
+            address,
+            UPSTREAM_PORT,
         )
         self.store.put(f"servers/i-{number}", self.make_entry(number, domain))
         node = self.make_node(number, domain)
--- /dev/null
+++ b/tests/traffic/test_crash_records.py
@@ -0,0 +1,136 @@
+"""Tests of the records of requests that end upstreams."""
+
+import itertools
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+import trio
+
+from shallotbridge._generated import link
+from shallotbridge.core import errors
+from shallotbridge.traffic import crash_records
+
+HARMFUL = 1
+
+
+async def test_a_request_that_ended_three_upstreams_is_refused(autojump_clock):
+    """Guards against a request that takes a service down (BUDGET)."""
+    records = crash_records.CrashRecords()
+    for crash_id in range(crash_records.CRASH_LIMIT):
+        records.check(HARMFUL)
+        records.on_crash([HARMFUL], crash_id)
+    with pytest.raises(errors.QuarantinedError) as caught:
+        records.check(HARMFUL)
+    assert not caught.value.is_retry_safe
+    assert caught.value.outcome is errors.Outcome.NOT_RUN
+    await trio.sleep(crash_records.RECORD_SECONDS)
+    records.check(HARMFUL)
+    assert not records.export()
+
+
+async def test_one_crash_that_several_nodes_report_counts_once():
+    """Guards against a request that is refused after a single crash."""
+    records = crash_records.CrashRecords()
+    for _ in range(5):
+        records.on_crash([HARMFUL], 7)
+        records.merge(records.export())
+    assert records.crash_count(HARMFUL) == 1
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
+@hypothesis.given(
+    crashes=strategies.lists(
+        strategies.lists(strategies.integers(2, 6), max_size=5),
+        min_size=crash_records.CRASH_LIMIT,
+        max_size=8,
+    )
+)
+def test_requests_beside_a_harmful_one_are_not_refused(crashes):
+    """Guards against refusing a bystander of several crashes.
+
+    The bystanders are sent again after each crash, some beside the harmful
+    request once more, and complete if no crash interrupts them.
+    """
+
+    async def run():
+        owners = [crash_records.CrashRecords() for _ in range(4)]
+        for number, bystanders in enumerate(crashes):
+            owner = owners[number % len(owners)]
+            owner.on_crash([HARMFUL, *bystanders], number)
+            for bystander in range(2, 7):
+                if bystander not in bystanders:
+                    owners[bystander % len(owners)].on_success(bystander)
+            for first, second in itertools.permutations(owners, 2):
+                first.merge(second.export())
+        for owner in owners:
+            assert owner.is_barred(HARMFUL)
+            for bystander in range(2, 7):
+                in_all = all(bystander in each for each in crashes)
+                assert in_all or not owner.is_barred(bystander)
+
+    trio.run(run)
+
+
+async def test_a_frequent_request_is_not_refused_after_crashes_at_once(
+    autojump_clock,
+):
+    """Guards against refusing a busy route whose requests are equal.
+
+    Three upstreams end at the same moment for another reason, each with such
+    a request in flight. It completed shortly before at one of the nodes.
+    """
+    owners = [crash_records.CrashRecords() for _ in range(4)]
+    owners[3].on_success(HARMFUL)
+    for number, owner in enumerate(owners[:3]):
+        owner.on_crash([HARMFUL], number)
+    for first, second in itertools.permutations(owners, 2):
+        first.merge(second.export())
+    for first, second in itertools.permutations(owners, 2):
+        first.merge(second.export())
+    assert not any(owner.is_barred(HARMFUL) for owner in owners)
+
+
+async def test_records_are_bounded():
+    """Guards against memory that grows with crashes or with requests."""
+    records = crash_records.CrashRecords()
+    for number in range(3 * crash_records.MAXIMUM_RECORDS):
+        records.on_crash([number], number)
+        records.on_success(-number)
+    for number in range(2 * crash_records.MAXIMUM_SUCCESSES):
+        records.on_success(-number)
+    assert len(records) == crash_records.MAXIMUM_RECORDS
+    assert len(records.export()) == crash_records.MAXIMUM_SENT_RECORDS
+    assert (
+        len(records._succeeded_at_by_fingerprint)
+        == crash_records.MAXIMUM_SUCCESSES
+    )
+
+
+@pytest.mark.parametrize("age_ms", [1e12, float("nan"), float("inf"), -5.0])
+async def test_a_record_with_an_odd_age_does_not_stay(autojump_clock, age_ms):
+    """Guards against a record of a peer that never expires."""
+    records = crash_records.CrashRecords()
+    records.merge(
+        [
+            link.CrashRecord(
+                fingerprint=HARMFUL,
+                crash_ids=(1, 2, 3),
+                is_cleared=False,
+                age_ms=age_ms,
+            )
+        ]
+    )
+    await trio.sleep(crash_records.RECORD_SECONDS)
+    records.check(HARMFUL)
+
+
+async def test_news_does_not_keep_a_record_alive_by_itself(autojump_clock):
+    """Guards against nodes that tell each other of an old crash forever."""
+    first, second = crash_records.CrashRecords(), crash_records.CrashRecords()
+    first.on_crash([HARMFUL], 1)
+    for _ in range(20):
+        await trio.sleep(crash_records.RECORD_SECONDS / 10)
+        second.merge(first.export())
+        first.merge(second.export())
+    assert not first.export() and not second.export()
