Order published items by the store's era before the revision

Cause: mirror, digest, tombstones, pulls and pings compared revisions of two lives of the store. What the copy lacks was taken as removed, what it still lists as new. The client of the store reads the header, mixes no pages of two eras, and takes a watch that crosses a restore for lost history. The view keeps what the copy lacks for two seconds, and does not use upstreams that it saw leave, or a domain's older state, on the word of the copy. The stand-in has eras and restores.

--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -17,6 +17,7 @@
 from ..core import errors
 from ..core import supervision
 from . import mirror as mirrors
+from . import positions
 from . import tree
 
 # Topics; each has its own follower. A configuration of 2,300 routes takes a
@@ -310,8 +311,8 @@
         self._record(
             "items_read",
             topic=self._topic,
-            position=position,
-            previous=previous,
+            position=positions.describe(position),
+            previous=positions.describe(previous),
             items=len(items),
             may_be_stale=may_be_stale,
             seconds=round(trio.current_time() - began_at, 3),
@@ -325,12 +326,14 @@
             self._record(
                 "view_current",
                 topic=self._topic,
-                position=self._mirror.position,
+                position=positions.describe(self._mirror.position),
             )
 
     async def _on_history_lost(self):
         self._record(
-            "history_lost", topic=self._topic, position=self._mirror.position
+            "history_lost",
+            topic=self._topic,
+            position=positions.describe(self._mirror.position),
         )
         self._is_confirmed = False
         # A platform that lost its history again after a full read is not
@@ -352,8 +355,8 @@
         self._record(
             "items_watched",
             topic=self._topic,
-            position=position,
-            previous=previous,
+            position=positions.describe(position),
+            previous=positions.describe(previous),
             items=len(items),
             bytes=sum(len(item.value or b"") for item in items),
         )
@@ -374,7 +377,10 @@
         revision = await self._read_revision()
         if revision == self._mirror.position:
             self._complete_at = began_at
-        elif began_at >= self._confirmation_due_at:
+        elif began_at >= self._confirmation_due_at or (
+            positions.get_era(revision)
+            != positions.get_era(self._mirror.position)
+        ):
             self._is_confirmed = False
 
     def _batch_delay(self, began_at):
@@ -493,8 +499,8 @@
             "items_pulled",
             topic=self._topic,
             peer=address,
-            position=reply.position,
-            previous=self._mirror.position,
+            position=positions.describe(reply.position),
+            previous=positions.describe(self._mirror.position),
             items=len(reply.items),
             is_whole=reply.is_whole,
         )
@@ -519,7 +525,7 @@
                     "copies_differ",
                     topic=self._topic,
                     peer=address,
-                    position=position,
+                    position=positions.describe(position),
                     items=len(self._mirror.items_by_key),
                 )
 
@@ -649,7 +655,7 @@
                 "platform_lost",
                 code=error.code,
                 detail=error.detail,
-                position=self._mirror.position,
+                position=positions.describe(self._mirror.position),
             )
 
     def _on_platform_available(self):
@@ -658,7 +664,10 @@
         self._tree.include_reader(self._own_address)
         if not self._is_platform_available:
             self._is_platform_available = True
-            self._record("platform_regained", position=self._mirror.position)
+            self._record(
+                "platform_regained",
+                position=positions.describe(self._mirror.position),
+            )
 
     @property
     def outage_ended_at(self):
--- a/shallotbridge/distribution/views.py
+++ b/shallotbridge/distribution/views.py
@@ -1,15 +1,28 @@
 """Builds the mesh view from the published items, without malformed ones."""
 
+import collections
+import math
+
 import eliot
 
 from ..core import decisions
 from ..core import errors
+from . import positions
 from ..traffic import model
 
 # Upstreams whose entries expired during a platform outage register again about
 # 2 s after its end if they are still running. A node detects the end some
 # tenths of a second late, and must not use removed upstreams for much longer.
 EXPIRED_ENTRY_GRACE_SECONDS = 1.5
+# Upstreams and operators write again what a restored store has lost, in about
+# the interval between two reports of an upstream.
+RESTORED_ENTRY_GRACE_SECONDS = 2.0
+# A restored store lists upstreams that have left since its copy, until they
+# have missed three reports.
+DEPARTED_ENTRY_SECONDS = 6.0
+# How long an upstream that was removed is remembered.
+DEPARTURE_SECONDS = 60.0
+MAXIMUM_DEPARTURES = 2000
 
 
 class ViewBuilder:
@@ -46,9 +59,23 @@
         # Pairs of revision and decoded content, which may be None.
         self._decoded_by_key = {}
         self._expired_by_id = {}
+        # Removed upstreams and the time of their removal, oldest first.
+        self._removed_by_id = collections.OrderedDict()
+        self._ignored_ids = set()
+        self._ignored_version = None
+        self._upstream_restore = _Restore()
+        self._operator_restore = _Restore()
         self.view = model.EMPTY_VIEW
 
-    def update(self, items_by_key, *, now, outage_ended_at, position=0):
+    def update(
+        self,
+        items_by_key,
+        *,
+        now,
+        outage_ended_at,
+        position=0,
+        configuration_position=0,
+    ):
         """Decode new items and replace the view.
 
         Parameters
@@ -60,8 +87,11 @@
             End of the last platform outage in which entries may have expired.
             Upstreams that are removed soon after it are retained for a while,
             as they may register again.
-        position : int
-            Revision up to which the items are complete, for the log.
+        position, configuration_position : int
+            Positions up to which the upstreams, and the configuration and the
+            failure domains out of service, are complete. In the first update
+            of a later era, items up to these are from the copy from which the
+            store was restored.
 
         Returns
         -------
@@ -70,16 +100,22 @@
             retained upstreams are dropped then.
         """
         configuration = self.view.configuration
+        self._upstream_restore.update(position, now)
+        self._operator_restore.update(configuration_position, now)
         upstreams_by_id = {}
         domains_out = set()
+        restored_domains = set()
         for key in self._decoded_by_key.keys() - items_by_key.keys():
             del self._decoded_by_key[key]
         for item in items_by_key.values():
             content = self._decode_cached(item)
             if isinstance(content, model.Upstream):
-                upstreams_by_id[content.upstream_id] = content
+                if not self._has_left(content, item.revision, now):
+                    upstreams_by_id[content.upstream_id] = content
             elif isinstance(content, str):
                 domains_out.add(content)
+                if self._operator_restore.is_from_copy(item.revision):
+                    restored_domains.add(content)
             elif content is not None:
                 configuration = self._select_configuration(
                     configuration, content
@@ -88,10 +124,22 @@
         next_update_at = self._retain_expired(
             upstreams_by_id, now, outage_ended_at
         )
+        operators_write_until = (
+            self._operator_restore.began_at + RESTORED_ENTRY_GRACE_SECONDS
+        )
+        if now < operators_write_until:
+            # Until then the copy does not tell which domains were taken out
+            # of service or back since.
+            domains_out -= restored_domains - self.view.domains_out
+            domains_out |= self.view.domains_out
+            next_update_at = min(
+                operators_write_until, next_update_at or math.inf
+            )
         upstreams_by_id = {
             upstream_id: self._mark_leaving(upstream)
             for upstream_id, upstream in upstreams_by_id.items()
         }
+        self._remember_removed(upstreams_by_id, now)
         self._record_changes(upstreams_by_id, domains_out, position)
         self.view = model.make_view(
             configuration=configuration,
@@ -118,13 +166,17 @@
                     f"internal error of the decoder: {internal_error!r}"
                 ),
             )
-        if known is not None and _is_older_report(content, known[1]):
+        if known is not None and _is_older_report(
+            content,
+            known[1],
+            self._upstream_restore.is_from_copy(item.revision),
+        ):
             self._record(
                 "report_ignored",
                 chosen=content.upstream_id,
                 report=content.report,
                 known=known[1].report,
-                revision=item.revision,
+                revision=positions.describe(item.revision),
             )
             content = known[1]
         self._decoded_by_key[item.key] = (item.revision, content)
@@ -134,7 +186,7 @@
         self._record(
             "item_rejected",
             key=item.key,
-            revision=item.revision,
+            revision=positions.describe(item.revision),
             code=error.code,
             detail=error.detail,
         )
@@ -142,7 +194,11 @@
     def _select_configuration(self, known, found):
         """Return the newer of two configurations; the version never drops."""
         if known is not None and found.version <= known.version:
-            if found.version < known.version:
+            if (
+                found.version < known.version
+                and found.version != self._ignored_version
+            ):
+                self._ignored_version = found.version
                 self._record(
                     "configuration_ignored",
                     chosen=known.version,
@@ -185,7 +241,10 @@
         float or None
             When they are dropped; None if there are none.
         """
-        until = outage_ended_at + EXPIRED_ENTRY_GRACE_SECONDS
+        until = max(
+            outage_ended_at + EXPIRED_ENTRY_GRACE_SECONDS,
+            self._upstream_restore.began_at + RESTORED_ENTRY_GRACE_SECONDS,
+        )
         for upstream_id, upstream in self.view.upstreams_by_id.items():
             if upstream_id in upstreams_by_id:
                 self._expired_by_id.pop(upstream_id, None)
@@ -196,7 +255,8 @@
                         "upstream_kept",
                         chosen=upstream_id,
                         for_s=round(until - now, 3),
-                        reason="its entry may have expired in the outage",
+                        reason="its entry may have expired in an outage, or "
+                        "been lost when the store was restored",
                     )
         if now >= until:
             self._expired_by_id.clear()
@@ -206,6 +266,50 @@
         upstreams_by_id.update(self._expired_by_id)
         return until
 
+    def _has_left(self, upstream, revision, now):
+        """Return whether an entry is that of an upstream that has left.
+
+        The copy from which a store was restored may list it still. An entry
+        that the upstream wrote later, or that outlasts its expiry, counts.
+        """
+        removed = self._removed_by_id.get(upstream.upstream_id)
+        if (
+            removed is None
+            or not self._upstream_restore.is_from_copy(revision)
+            or removed[1] >= self._upstream_restore.began_at
+            or now >= self._upstream_restore.began_at + DEPARTED_ENTRY_SECONDS
+        ):
+            return False
+        left = removed[0]
+        has_left = upstream.started_ms < left.started_ms or (
+            upstream.started_ms == left.started_ms
+            and upstream.report <= left.report
+        )
+        if has_left and upstream.upstream_id not in self._ignored_ids:
+            self._ignored_ids.add(upstream.upstream_id)
+            self._record(
+                "upstream_ignored",
+                chosen=upstream.upstream_id,
+                revision=positions.describe(revision),
+                removed_s=round(now - removed[1], 3),
+                reason="it left before the store was restored",
+            )
+        return has_left
+
+    def _remember_removed(self, upstreams_by_id, now):
+        """Remember the upstreams that are removed by this update."""
+        removed_by_id = self._removed_by_id
+        for upstream_id, upstream in self.view.upstreams_by_id.items():
+            if upstream_id not in upstreams_by_id:
+                removed_by_id[upstream_id] = (upstream, now)
+                removed_by_id.move_to_end(upstream_id)
+        while removed_by_id and (
+            len(removed_by_id) > MAXIMUM_DEPARTURES
+            or next(iter(removed_by_id.values()))[1] < now - DEPARTURE_SECONDS
+        ):
+            upstream_id, _ = removed_by_id.popitem(last=False)
+            self._ignored_ids.discard(upstream_id)
+
     def _record_changes(self, upstreams_by_id, domains_out, position):
         previous = self.view
         known = previous.upstreams_by_id
@@ -221,11 +325,13 @@
                     is_draining=upstream.is_draining,
                     started_ms=upstream.started_ms,
                     report=upstream.report,
-                    position=position,
+                    position=positions.describe(position),
                 )
         for upstream_id in known.keys() - upstreams_by_id.keys():
             self._record(
-                "upstream_removed", chosen=upstream_id, position=position
+                "upstream_removed",
+                chosen=upstream_id,
+                position=positions.describe(position),
             )
         if previous.domains_out != domains_out:
             self._record(
@@ -235,15 +341,42 @@
             )
 
 
-def _is_older_report(found, known):
+class _Restore:
+    """The last restore of the store that a topic has seen.
+
+    Attributes
+    ----------
+    began_at : float
+        When this node learned of it; minus infinity before the first one.
+    """
+
+    def __init__(self):
+        self.began_at = -math.inf
+        self._position = 0
+
+    def update(self, position, now):
+        """Note a restore if the position is in a later era."""
+        era = positions.get_era(self._position)
+        if not self._position or positions.get_era(position) > era:
+            if self._position:
+                self.began_at = now
+            self._position = position
+
+    def is_from_copy(self, revision):
+        """Return whether an item may be from the copy of the last restore."""
+        return self.began_at > -math.inf and revision <= self._position
+
+
+def _is_older_report(found, known, is_from_copy):
     """Return whether a report of an upstream precedes the known one.
 
-    Reports are compared only if their start times are equal and known, since
-    the numbering starts again with a restart.
+    The numbering of reports starts again with a restart. An earlier start is
+    older only in a copy from which the store was restored.
     """
-    return (
-        isinstance(found, model.Upstream)
-        and isinstance(known, model.Upstream)
-        and found.started_ms == known.started_ms > 0
-        and found.report < known.report
-    )
+    if not (
+        isinstance(found, model.Upstream) and isinstance(known, model.Upstream)
+    ):
+        return False
+    if found.started_ms != known.started_ms:
+        return is_from_copy and found.started_ms < known.started_ms
+    return found.started_ms > 0 and found.report < known.report
--- a/shallotbridge/platform/names.py
+++ b/shallotbridge/platform/names.py
@@ -2,6 +2,9 @@
 
 from ..traffic import model
 
+# Header of all answers of the store; see ``distribution.positions``.
+STORE_ERA = "store-era"
+
 HEADER_NAMES = model.HeaderNames(
     request_id="attempt-id",
     deadline="deadline-remaining",
--- a/shallotbridge/platform/store.py
+++ b/shallotbridge/platform/store.py
@@ -10,8 +10,10 @@
 import trio
 
 from .._generated import link
+from ..core import decisions
 from ..core import errors
 from ..distribution import follower
+from ..distribution import positions
 from . import items
 from . import names
 from ..traffic import upstream_client
@@ -19,6 +21,10 @@
 # Timeout of a range read, and of a watch in addition to its wait time. The
 # store usually responds in 4 ms; on slow days in some hundred milliseconds.
 RESPONSE_TIMEOUT_SECONDS = 1.2
+# How often a read of several pages starts again because the store was restored
+# between two pages.
+MAXIMUM_READ_RESTARTS = 3
+_MAXIMUM_ERA_DIGITS = 9
 
 
 class _Item(msgspec.Struct):
@@ -29,14 +35,19 @@
     deleted: bool = False
 
 
-class _RangeResponse(msgspec.Struct):
+class _Response(msgspec.Struct, kw_only=True):
+    # From the header, not the body.
+    era: int = positions.FIRST_ERA
+
+
+class _RangeResponse(_Response):
     items: list[_Item]
     # Revision of the store when it created this page.
     at: int
     has_more: bool = False
 
 
-class _EventsResponse(msgspec.Struct):
+class _EventsResponse(_Response):
     events: list[_Item]
     at: int
 
@@ -54,6 +65,8 @@
 
     def __init__(self, *, open_stream, address, port):
         self._host_header = f"{address}:{port}"
+        self._latest_era = positions.FIRST_ERA
+        self._is_era_logged = False
         self._http_client = upstream_client.UpstreamClient(
             open_stream=open_stream,
             address=address,
@@ -70,10 +83,10 @@
         )
 
     async def read_all(self, may_be_stale=False, prefix=""):
-        """Return all items and the revision from which to watch.
+        """Return all items and the position from which to watch.
 
         The pages of a read are not one snapshot, so the watch starts at the
-        lowest revision of any page.
+        lowest revision of any page. Pages of two eras are never mixed.
 
         Parameters
         ----------
@@ -90,6 +103,7 @@
         published_items = []
         position = None
         after = ""
+        restarts = 0
         stale_ok = "1" if may_be_stale else ""
         while True:
             page = await self._get(
@@ -99,17 +113,28 @@
                 RESPONSE_TIMEOUT_SECONDS,
                 prefix,
             )
+            page_position = positions.make_position(page.era, page.at)
+            if position is not None and (
+                positions.get_era(position) != page.era
+            ):
+                restarts += 1
+                if restarts > MAXIMUM_READ_RESTARTS:
+                    raise errors.PlatformUnavailableError(
+                        "the pages of a read are of different eras"
+                    )
+                published_items, position, after = [], None, ""
+                continue
             # Pages of a stale read can have different revisions.
-            position = page.at if position is None else min(position, page.at)
+            position = min(page_position, position or page_position)
             published_items.extend(
-                _to_published_item(item) for item in page.items
+                _to_published_item(item, page.era) for item in page.items
             )
             if not page.has_more or not page.items:
                 return published_items, position
             after = page.items[-1].key
 
     async def read_revision(self):
-        """Return the store's latest revision.
+        """Return the store's latest position.
 
         Reads the few items under one prefix, because each range response has
         the revision.
@@ -125,7 +150,7 @@
             RESPONSE_TIMEOUT_SECONDS,
             items.OUT_OF_SERVICE_PREFIX,
         )
-        return page.at
+        return positions.make_position(page.era, page.at)
 
     async def read_nodes(self):
         """Return the addresses at which some upstreams are registered.
@@ -153,7 +178,9 @@
         for item in page.items:
             try:
                 upstreams.append(
-                    items.decode_item(item.key, _to_published_item(item).value)
+                    items.decode_item(
+                        item.key, _to_published_item(item, page.era).value
+                    )
                 )
             except errors.MalformedEntryError:
                 # The mirror reports malformed entries.
@@ -164,7 +191,7 @@
         ]
 
     async def watch(self, position, seconds, prefix=""):
-        """Return the changes after a revision, and the latest revision.
+        """Return the changes after a position, and the latest position.
 
         Parameters
         ----------
@@ -177,21 +204,28 @@
         Raises
         ------
         errors.HistoryLostError
+            The changes are not available, or the store has been restored
+            since.
         errors.PlatformUnavailableError
         """
         response = await self._get(
             "/v1/kv-watch",
             {
-                "after": str(position),
+                "after": str(positions.get_revision(position)),
                 "wait_timeout_ms": str(int(seconds * 1000)),
             },
             _EventsResponse,
             seconds + RESPONSE_TIMEOUT_SECONDS,
             prefix,
         )
+        if response.era != positions.get_era(position):
+            raise errors.HistoryLostError(
+                f"watch from {positions.describe(position)} answered in era "
+                f"{response.era}"
+            )
         return [
-            _to_published_item(item) for item in response.events
-        ], response.at
+            _to_published_item(item, response.era) for item in response.events
+        ], positions.make_position(response.era, response.at)
 
     async def _get(self, path, query, response_type, seconds, prefix=""):
         parameters = {name: text for name, text in query.items() if text}
@@ -219,13 +253,37 @@
             raise errors.PlatformUnavailableError(
                 f"GET {path}: status {response.status}"
             )
+        era = self._read_era(response.header(names.STORE_ERA))
         try:
-            return msgspec.json.decode(response.body, type=response_type)
+            return msgspec.structs.replace(
+                msgspec.json.decode(response.body, type=response_type), era=era
+            )
         except (msgspec.MsgspecError, RecursionError) as error:
             raise errors.PlatformUnavailableError(
                 f"GET {path}: {error}"
             ) from error
 
+    def _read_era(self, value):
+        """Return the era that an answer names, or the latest known one."""
+        if (
+            value is not None
+            and value.isascii()
+            and value.isdecimal()
+            and len(value) <= _MAXIMUM_ERA_DIGITS
+            and positions.FIRST_ERA <= int(value) <= positions.MAXIMUM_ERA
+        ):
+            era = int(value)
+            self._latest_era = max(self._latest_era, era)
+            return era
+        if not self._is_era_logged:
+            self._is_era_logged = True
+            decisions.record(
+                "store_era_unknown",
+                found=value and value[:_MAXIMUM_ERA_DIGITS],
+                chosen=self._latest_era,
+            )
+        return self._latest_era
+
     def close(self):
         """Close the connections."""
         self._http_client.close()
@@ -241,7 +299,7 @@
     return isinstance(cause, OSError) and cause.errno == errno.ETIMEDOUT
 
 
-def _to_published_item(item):
+def _to_published_item(item, era):
     """Return a ``PublishedItem``; a value that is not base64 stays as is."""
     if item.deleted or item.value is None:
         value = None
@@ -252,5 +310,7 @@
             # Written by another program; decoding the entry reports it.
             value = item.value.encode()
     return link.PublishedItem(
-        key=item.key, revision=item.revision, value=value
+        key=item.key,
+        revision=positions.make_position(era, item.revision),
+        value=value,
     )
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -12,6 +12,7 @@
 from ..core import supervision
 from ..distribution import follower
 from ..distribution import mirror
+from ..distribution import positions
 from ..distribution import views
 from ..peers import domain_outage
 from ..peers import links as peer_links
@@ -452,6 +453,7 @@
             now=now,
             outage_ended_at=self._upstream_follower.outage_ended_at,
             position=self._upstream_mirror.position,
+            configuration_position=self._configuration_mirror.position,
         )
         view = self._view_builder.view
         self._selector.on_view_changed(view)
@@ -661,10 +663,19 @@
         gauge = self._metrics.register_gauge
         gauge("version", self._read_version)
         upstreams = self._upstream_follower
-        gauge("position", lambda: self._upstream_mirror.position)
+        gauge(
+            "position",
+            lambda: positions.get_revision(self._upstream_mirror.position),
+        )
         gauge(
             "configuration_position",
-            lambda: self._configuration_mirror.position,
+            lambda: positions.get_revision(
+                self._configuration_mirror.position
+            ),
+        )
+        gauge(
+            "store_era",
+            lambda: positions.get_era(self._upstream_mirror.position),
         )
         gauge("view_age_seconds", lambda: upstreams.mirror_state().age)
         gauge("platform_calls_total", self._count_platform_calls)
--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -22,6 +22,7 @@
 from ..core import http1_encoding
 from ..core import model as messages
 from . import crash_records
+from ..distribution import positions
 from . import hedging
 from . import routing
 from . import self_report
@@ -755,7 +756,8 @@
             detail=None if error is None else error.detail,
             retry_after_s=retry_after and round(retry_after, 3),
             held_ms=round((now - call.started_at) * 1000, 1),
-            position=call.mirror_state and call.mirror_state.position,
+            position=call.mirror_state
+            and positions.describe(call.mirror_state.position),
             view_age_ms=call.mirror_state and call.mirror_state.age_ms,
         )
 
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -12,6 +12,7 @@
 from ..core import errors
 from ..core import supervision
 from . import crash_records
+from ..distribution import positions
 from . import model
 from . import rate_limit
 from . import self_report
@@ -404,7 +405,7 @@
             queued=self._admission.queued,
             upstream=work.upstream_id,
             registered=self._registered and self._registered.upstream_id,
-            position=view_at_send.position,
+            position=positions.describe(view_at_send.position),
             view_age_ms=view_at_send.age_ms,
             **self._describe_limit(now),
         )
--- a/standins/store.py
+++ b/standins/store.py
@@ -30,6 +30,8 @@
         Whether calls get no response.
     is_silent : bool
         Whether watches report no changes.
+    era : int or None
+        Number of the store's lives, in a header of all answers.
     configuration_delay_seconds : float
         Network delay of each watch response with a configuration, seconds.
     in_transit : int
@@ -43,6 +45,7 @@
         self.status = None
         self.is_unresponsive = False
         self.is_silent = False
+        self.era = 1
         self.configuration_delay_seconds = 0.0
         self.in_transit = 0
         self.calls = []
@@ -82,6 +85,23 @@
         self.oldest_revision = self.revision
         self._events.clear()
 
+    def copy(self):
+        """Return a copy of the items, from which ``restore`` starts."""
+        return self.revision, dict(self.items_by_key)
+
+    def restore(self, copy):
+        """Go back to a copy: what was written since is lost.
+
+        Revisions are given out again, and a new era begins. A watch from a
+        revision that the copy does not have gets 410.
+        """
+        self.revision, items_by_key = copy
+        self.items_by_key = dict(items_by_key)
+        self.era += 1
+        self._events.clear()
+        self.oldest_revision = 0
+        self.cut_watches()
+
     def cut_watches(self):
         """End the connections of all waiting watches."""
         self._cuts.set()
@@ -94,6 +114,13 @@
 
     async def handle_request(self, request):
         """Return the response to a call."""
+        response = await self._respond(request)
+        if self.era is None or isinstance(response, bytes):
+            return response
+        era = model.Header(name="store-era", value=str(self.era))
+        return dataclasses.replace(response, headers=(era,))
+
+    async def _respond(self, request):
         path, _, query = request.target.partition("?")
         fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         self.calls.append(path)
@@ -126,7 +153,7 @@
 
     async def _watch(self, fields):
         after = int(fields["after"])
-        if after < self.oldest_revision:
+        if not self.oldest_revision <= after <= self.revision:
             return _response(410, {})
         events = []
         cuts = self._cuts
--- a/tests/distribution/test_mirror.py
+++ b/tests/distribution/test_mirror.py
@@ -2,6 +2,7 @@
 
 from shallotbridge._generated import link
 from shallotbridge.distribution import mirror
+from shallotbridge.distribution import positions
 
 
 def _item(key, revision, value=b"x"):
@@ -100,3 +101,37 @@
     items.apply([_item("gone", 105)], 107)
     assert set(items.items_by_key) == {"a"}
     assert items.position == 120
+
+
+def test_items_of_a_later_era_replace_those_of_higher_revisions():
+    """Guards against a restored store whose changes are skipped (CONFIG 68).
+
+    The store goes back to an older revision and gives revisions out again.
+    """
+    old, new = (
+        positions.make_position(era, revision)
+        for era, revision in ((1, 200), (2, 14))
+    )
+    items = mirror.ItemMirror()
+    items.replace([_item("a", old, b"old"), _item("lost", old)], old)
+    before = items.position
+    assert items.replace([_item("a", new, b"new")], new)
+    assert items.items_by_key["a"].value == b"new"
+    assert set(items.items_by_key) == {"a"}
+    is_whole, _ = items.changes_since(before)
+    assert is_whole
+    # A peer behind a cut still has the earlier era.
+    items.apply([_item("a", old + 1, b"old")], old + 1)
+    assert not items.replace([_item("a", old + 1, b"old")], old + 1)
+    assert items.items_by_key["a"].value == b"new"
+    assert items.position == new
+
+
+def test_equal_copies_of_a_later_era_have_equal_digests():
+    """Guards against differences that are only the way items came."""
+    old, new = (positions.make_position(era, 9) for era in (1, 2))
+    first, second = mirror.ItemMirror(), mirror.ItemMirror()
+    first.replace([_item("a", old), _item("b", old)], old)
+    for copy in (first, second):
+        copy.replace([_item("a", new)], new)
+    assert first.digest == second.digest
--- a/tests/distribution/test_views.py
+++ b/tests/distribution/test_views.py
@@ -4,6 +4,7 @@
 
 from shallotbridge._generated import link
 from shallotbridge.core import errors
+from shallotbridge.distribution import positions
 from shallotbridge.distribution import views
 
 from tests.traffic import builders
@@ -149,3 +150,122 @@
     assert "report_ignored" in [action for action, _ in lines]
     _update(builder, _items(a=(3, b"again")))
     assert builder.view.usable_upstreams("shop")
+
+
+FIRST, RESTORED = (
+    positions.make_position(era, revision)
+    for era, revision in ((1, 30), (2, 20))
+)
+
+
+def _entries(era, **values):
+    return _items(
+        **{
+            key: (positions.make_position(era, 10), value)
+            for key, value in values.items()
+        }
+    )
+
+
+def _update_at(builder, position, items, now):
+    return builder.update(
+        items,
+        now=now,
+        outage_ended_at=-math.inf,
+        position=position,
+        configuration_position=position,
+    )
+
+
+def test_upstreams_that_a_restored_store_lost_are_kept_for_a_while():
+    """Guards against refusals while lost entries are written again.
+
+    An upstream has registered since the copy. It writes its entry again, or
+    it does not, and is gone then.
+    """
+    builder, _ = _builder(
+        {b"1": builders.upstream(1), b"2": builders.upstream(2)}
+    )
+    _update_at(builder, FIRST, _entries(1, a=b"1", b=b"2"), 0.0)
+    ends_at = _update_at(builder, RESTORED, _entries(2, a=b"1"), 10.0)
+    assert set(builder.view.upstreams_by_id) == {"u1", "u2"}
+    assert ends_at == 10.0 + views.RESTORED_ENTRY_GRACE_SECONDS
+    _update_at(builder, RESTORED, _entries(2, a=b"1"), ends_at)
+    assert set(builder.view.upstreams_by_id) == {"u1"}
+
+
+def test_an_upstream_that_left_does_not_return_with_a_restored_store():
+    """Guards against requests to an upstream that has left (DRAIN 23).
+
+    The copy lists it as ready. A new start under its id counts, and so does
+    an entry that it writes after the restore.
+    """
+    left = builders.upstream(2, started_ms=5, report=7)
+    contents = {
+        b"1": builders.upstream(1),
+        b"2": left,
+        b"old": builders.upstream(2, started_ms=5, report=4),
+        b"new": builders.upstream(2, started_ms=6, report=1),
+        b"back": builders.upstream(2, started_ms=5, report=9),
+    }
+    for value, is_used in ((b"old", False), (b"new", True), (b"back", True)):
+        builder, lines = _builder(contents)
+        _update_at(builder, FIRST, _entries(1, a=b"1", b=b"2"), 0.0)
+        _update_at(builder, FIRST + 1, _entries(1, a=b"1"), 5.0)
+        _update_at(builder, RESTORED, _entries(2, a=b"1", b=value), 10.0)
+        assert ("u2" in builder.view.upstreams_by_id) is is_used
+        ignored = [action for action, _ in lines].count("upstream_ignored")
+        assert ignored == (not is_used)
+        listed_at = 10.0 + views.DEPARTED_ENTRY_SECONDS
+        _update_at(builder, RESTORED, _entries(2, a=b"1", b=value), listed_at)
+        assert "u2" in builder.view.upstreams_by_id
+
+
+def test_a_draining_upstream_stays_so_when_the_store_is_restored():
+    """Guards against new requests to an upstream that is about to end."""
+    contents = {
+        b"ready": builders.upstream(1, started_ms=5, report=4),
+        b"draining": builders.upstream(
+            1, started_ms=5, report=5, is_draining=True
+        ),
+        b"earlier": builders.upstream(1, started_ms=3, report=9),
+    }
+    for value in (b"ready", b"earlier"):
+        builder, _ = _builder(contents)
+        _update_at(builder, FIRST, _entries(1, a=b"draining"), 0.0)
+        _update_at(builder, RESTORED, _entries(2, a=value), 10.0)
+        assert builder.view.upstreams_by_id["u1"].is_draining
+
+
+def test_domains_out_of_service_outlast_a_restore_of_the_store():
+    """Guards against requests to a domain that was taken out of service.
+
+    Since the copy, domain a was taken out and b was put back. Domain c is
+    taken out after the restore.
+    """
+    builder, _ = _builder({b"a": "a", b"b": "b", b"c": "c"})
+    _update_at(builder, FIRST, _entries(1, x=b"b"), 0.0)
+    _update_at(builder, FIRST + 1, _entries(1, y=b"a"), 1.0)
+    restored = _entries(2, x=b"b")
+    ends_at = _update_at(builder, RESTORED, restored, 10.0)
+    assert builder.view.domains_out == {"a"}
+    written = restored | _items(z=(RESTORED + 1, b"c"))
+    _update_at(builder, RESTORED + 1, written, 10.5)
+    assert builder.view.domains_out == {"a", "c"}
+    _update_at(builder, RESTORED + 1, written, ends_at)
+    assert builder.view.domains_out == {"b", "c"}
+
+
+def test_an_older_configuration_of_a_restored_store_is_logged_once():
+    """Guards against a log line for each change of an upstream."""
+    builder, lines = _builder(
+        {
+            b"7": builders.configuration(version=7),
+            b"5": builders.configuration(version=5),
+        }
+    )
+    _update_at(builder, FIRST, _entries(1, config=b"7"), 0.0)
+    for now in range(10, 20):
+        _update_at(builder, RESTORED, _entries(2, config=b"5"), now)
+    assert builder.view.configuration.version == 7
+    assert [action for action, _ in lines].count("configuration_ignored") == 1
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,7 +1,13 @@
 """Tests of the client of the platform's store."""
 
+import json
+
 import msgspec
+import pytest
 
+from shallotbridge.core import errors
+from shallotbridge.core import model
+from shallotbridge.distribution import positions
 from shallotbridge.platform import store
 
 
@@ -33,3 +39,80 @@
     items, position = await client.read_all(may_be_stale=True)
     assert [item.key for item in items] == ["servers/a", "servers/b"]
     assert position == 7
+
+
+class _HttpClient:
+    """Returns prepared responses in turn."""
+
+    def __init__(self, *responses):
+        self._responses = list(responses)
+        self.targets = []
+
+    async def exchange(self, request, *, deadline_at):
+        self.targets.append(request.target)
+        era, status, document = self._responses.pop(0)
+        headers = ()
+        if era is not None:
+            headers = (model.Header(name="store-era", value=era),)
+        return model.Response(
+            status=status, headers=headers, body=json.dumps(document).encode()
+        )
+
+
+def _client(*responses):
+    client = store.StoreClient(open_stream=None, address="10.0.0.1", port=1)
+    client._http_client = _HttpClient(*responses)
+    return client
+
+
+def _page(key, revision, has_more=False):
+    item = {"key": key, "revision": revision, "value": "e30="}
+    return {"items": [item], "has_more": has_more, "at": revision}
+
+
+async def test_pages_of_two_eras_are_not_mixed():
+    """Guards against a copy of which half was lost by a restore."""
+    client = _client(
+        ("1", 200, _page("servers/a", 90, has_more=True)),
+        ("2", 200, _page("servers/b", 20)),
+        ("2", 200, _page("servers/a", 20, has_more=True)),
+        ("2", 200, _page("servers/b", 21)),
+    )
+    items, position = await client.read_all()
+    assert [item.key for item in items] == ["servers/a", "servers/b"]
+    assert position == positions.make_position(2, 20)
+    assert items[1].revision == positions.make_position(2, 21)
+
+
+async def test_a_watch_that_crosses_a_restore_is_not_continued():
+    """Guards against changes that are missed in silence.
+
+    The restored store has given out the revision again, so it answers a
+    watch from the earlier one without a 410.
+    """
+    events = {"events": [{"key": "a", "revision": 16, "value": ""}], "at": 16}
+    client = _client(("2", 200, events), ("2", 200, events))
+    with pytest.raises(errors.HistoryLostError):
+        await client.watch(positions.make_position(1, 15), 1.0)
+    items, position = await client.watch(positions.make_position(2, 15), 1.0)
+    assert "after=15" in client._http_client.targets[1]
+    assert position == items[0].revision == positions.make_position(2, 16)
+
+
+@pytest.mark.parametrize("era", [None, "", "0", "-3", "x", "9" * 5000, "٣"])
+async def test_an_odd_era_is_taken_as_the_latest_known_one(era, monkeypatch):
+    """Guards against a reader that stops at an answer without an era."""
+    lines = []
+    monkeypatch.setattr(
+        store.decisions,
+        "record",
+        lambda action, **fields: lines.append(action),
+    )
+    client = _client(
+        ("4", 200, _page("a", 5)), *[(era, 200, _page("a", 6))] * 3
+    )
+    await client.read_all()
+    for _ in range(3):
+        _, position = await client.read_all()
+        assert position == positions.make_position(4, 6)
+    assert lines == ["store_era_unknown"]
