Reject entries whose values are out of range

Operators of similar systems saw: one odd entry among those of the upstreams ended the readers, or they stopped following the list. Cause: an entry was checked for types, not for ranges. A port of 5,000 digits raised an error that the first read of the nodes does not handle; names as address raised UnicodeError in connections, or asked the name service; numbers beyond 64 bits do not fit the messages between nodes; a name of a megabyte went into logs and views. Change: addresses are IP numbers, ports, counts, names and durations have bounds, log lines about rejected items too; connecting to what is no address is an OSError.

--- a/shallotbridge/distribution/views.py
+++ b/shallotbridge/distribution/views.py
@@ -23,6 +23,7 @@
 # How long an upstream that was removed is remembered.
 DEPARTURE_SECONDS = 60.0
 MAXIMUM_DEPARTURES = 2000
+MAXIMUM_LOGGED_CHARACTERS = 300
 
 
 class ViewBuilder:
@@ -185,10 +186,10 @@
     def _record_rejection(self, item, error):
         self._record(
             "item_rejected",
-            key=item.key,
+            key=item.key[:MAXIMUM_LOGGED_CHARACTERS],
             revision=positions.describe(item.revision),
             code=error.code,
-            detail=error.detail,
+            detail=error.detail[:MAXIMUM_LOGGED_CHARACTERS],
         )
 
     def _select_configuration(self, known, found):
--- a/shallotbridge/platform/items.py
+++ b/shallotbridge/platform/items.py
@@ -1,6 +1,7 @@
 """Decodes items of the platform's store into the project's types."""
 
 import functools
+import ipaddress
 import types
 
 import msgspec
@@ -17,6 +18,12 @@
 # Priority of routes that state none; it ranks below every stated priority.
 _DEFAULT_PRIORITY = 9
 _UPSTREAM_STATES = ("ready", "draining")
+# Bounds of an upstream's entry, which any program may have written. Larger
+# values do not fit the messages between nodes, or the arithmetic of a node.
+MAXIMUM_NAME_LENGTH = 200
+MAXIMUM_SLOTS = 100_000
+MAXIMUM_COUNT = 2**53 - 1
+_MAXIMUM_PORT_DIGITS = 5
 # Number of rules whose decoded routes are cached. Most rules are the same in
 # the next configuration. The largest configuration of the users' deployments
 # has 2,300 rules.
@@ -124,7 +131,9 @@
     if key.startswith(UPSTREAM_PREFIX):
         return _decode_upstream(key[len(UPSTREAM_PREFIX) :], value)
     if key.startswith(OUT_OF_SERVICE_PREFIX):
-        return key[len(OUT_OF_SERVICE_PREFIX) :]
+        domain = key[len(OUT_OF_SERVICE_PREFIX) :]
+        _check_name("failure domain", domain)
+        return domain
     return None
 
 
@@ -135,6 +144,7 @@
         msgspec.MsgspecError,
         UnicodeDecodeError,
         RecursionError,
+        ValueError,
     ) as error:
         raise errors.MalformedEntryError(str(error)) from error
 
@@ -146,11 +156,21 @@
         raise errors.MalformedEntryError(
             f"state {entry.status.state!r}; expected one of {_UPSTREAM_STATES}"
         )
-    if entry.information.slots < 1 or not upstream_id:
-        raise errors.MalformedEntryError(
-            f"upstream {upstream_id!r} with {entry.information.slots} slots; "
-            "expected an id and at least one slot"
-        )
+    for field, name in (
+        ("id", upstream_id),
+        ("service", entry.information.service),
+        ("failure domain", entry.information.zone),
+    ):
+        _check_name(field, name)
+    for field, number, lowest, highest in (
+        ("slots", entry.information.slots, 1, MAXIMUM_SLOTS),
+        ("start", entry.born, 0, MAXIMUM_COUNT),
+        ("report", entry.status.sequence, 0, MAXIMUM_COUNT),
+    ):
+        if not lowest <= number <= highest:
+            raise errors.MalformedEntryError(
+                f"{field} is out of range; expected {lowest} to {highest}"
+            )
     return model.Upstream(
         upstream_id=upstream_id,
         service=entry.information.service,
@@ -165,6 +185,14 @@
     )
 
 
+def _check_name(field, name):
+    if not 0 < len(name) <= MAXIMUM_NAME_LENGTH or not name.isprintable():
+        raise errors.MalformedEntryError(
+            f"{field} {name[:40]!r}; expected 1 to {MAXIMUM_NAME_LENGTH} "
+            "printable characters"
+        )
+
+
 def parse_address(text):
     """Parse ``IP:port`` into address and port.
 
@@ -178,11 +206,27 @@
     ('10.1.0.38', 8145)
     """
     address, _, port = text.rpartition(":")
-    if not address or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise errors.MalformedEntryError(f"address {text!r}; expected IP:port")
+    if not (
+        _is_ip_address(address)
+        and port.isascii()
+        and port.isdecimal()
+        and len(port) <= _MAXIMUM_PORT_DIGITS
+        and 0 < int(port) < 65536
+    ):
+        raise errors.MalformedEntryError(
+            f"address {text[:60]!r}; expected IP:port"
+        )
     return address, int(port)
 
 
+def _is_ip_address(text):
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def _decode_configuration(value):
     configuration = _decode(_configuration_decoder, value)
     services_by_name = {
--- a/shallotbridge/transports/tcp.py
+++ b/shallotbridge/transports/tcp.py
@@ -214,7 +214,13 @@
     connection = trio.socket.socket(_family(address), socket.SOCK_STREAM)
     try:
         with trio.move_on_after(CONNECT_TIMEOUT_SECONDS) as scope:
-            await connection.connect((address, port))
+            try:
+                await connection.connect((address, port))
+            except (ValueError, OverflowError) as error:
+                # Names that cannot be encoded, and ports out of range.
+                raise OSError(
+                    errno.EINVAL, f"invalid address {address[:60]!r}:{port}"
+                ) from error
         if scope.cancelled_caught:
             raise TimeoutError(
                 errno.ETIMEDOUT,
--- a/tests/platform/test_items.py
+++ b/tests/platform/test_items.py
@@ -115,6 +115,25 @@
         (["information", "service"], None),
         (["status", "state"], "gone"),
         (["status", "cold_remaining"], "soon"),
+        (["information", "slots"], 10**30),
+        (["information", "slots"], -1),
+        (["information", "service"], "x" * 1_000_000),
+        (["information", "service"], ""),
+        (["information", "zone"], ""),
+        (["information", "zone"], "a\x00b"),
+        (["status", "sequence"], 2**70),
+        (["status", "sequence"], -1),
+        (["status", "cold_remaining"], "9" * 400 + "s"),
+        (["born"], 2**70),
+        (["born"], -5),
+        (["address"], "10.1.0.9:" + "1" * 5000),
+        (["address"], "10.1.0.9:70000"),
+        (["address"], "10.1.0.9:٨٠"),
+        (["address"], "not an ip:80"),
+        (["address"], "....:80"),
+        (["address"], "10.1.0.9\x00:80"),
+        (["address"], "1" * 300 + ":80"),
+        (["address"], "256.1.1.1:80"),
         (["born"], 1.5),
         (["born"], True),
     ],
@@ -193,7 +212,18 @@
         )
 
 
+@pytest.mark.parametrize(
+    "key",
+    ["servers/", "servers/" + "i" * 300, "servers/a\nb", "op/evacuate/"],
+)
+def test_an_odd_key_is_rejected(key):
+    """Guards against an upstream or a failure domain without a usable name."""
+    with pytest.raises(errors.MalformedEntryError):
+        items.decode_item(key, json.dumps(ENTRY).encode())
+
+
 def test_domain_out_of_service_and_unknown_key():
     """Guards against keys of other programs that are decoded as ours."""
     assert items.decode_item("op/evacuate/cairo-a", b"{}") == "cairo-a"
     assert items.decode_item("my/leader", b"x") is None
+    assert items.decode_item("op/config/x", b"x") is None
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,6 @@
 """Tests of the client of the platform's store."""
 
+import base64
 import json
 
 import msgspec
@@ -10,6 +11,8 @@
 from shallotbridge.distribution import positions
 from shallotbridge.platform import store
 
+from tests.platform import test_items
+
 
 async def test_paged_read_returns_the_lowest_revision_of_its_pages():
     """Guards against changes that no later watch reports.
@@ -116,3 +119,26 @@
         _, position = await client.read_all()
         assert position == positions.make_position(4, 6)
     assert lines == ["store_era_unknown"]
+
+
+async def test_odd_entries_do_not_end_the_first_read_of_nodes():
+    """Guards against a node that never starts because of one odd entry."""
+    entry = dict(test_items.ENTRY)
+    values = [
+        entry | {"address": "10.1.0.9:" + "1" * 5000},
+        entry | {"born": 10**300},
+        entry,
+    ]
+    page = {
+        "items": [
+            {
+                "key": f"servers/{number}",
+                "revision": number,
+                "value": base64.b64encode(json.dumps(value).encode()).decode(),
+            }
+            for number, value in enumerate(values)
+        ],
+        "at": 9,
+    }
+    client = _client(("1", 200, page))
+    assert await client.read_nodes() == [("10.1.0.9", "cairo-a")]
--- a/tests/transports/test_tcp.py
+++ b/tests/transports/test_tcp.py
@@ -105,3 +105,12 @@
         answer = await trio.to_thread.run_sync(client.recv, 10)
         assert answer == b"request %d" % number
         client.close()
+
+
+@pytest.mark.parametrize("address", ["....", "10.0.0.1\x00", "x" * 300])
+async def test_an_address_that_cannot_be_encoded_is_an_os_error(address):
+    """Guards against an odd address that ends the task that connects."""
+    with pytest.raises(OSError):
+        await tcp.open_stream(address, 80)
+    with pytest.raises(OSError):
+        await tcp.open_stream("127.0.0.1", 2**70)
