Let no entry of an unknown service take an upstream's address

Operators of similar systems saw: one odd entry put a sound upstream out of use. Cause: of two entries with one address the later start won, also if its service is in no configuration. The owner node at that address took the odd entry for its upstream. Change: entries of configured services go first. Measured: test_an_entry_of_an_unknown_service_takes_no_upstreams_address fails before and passes. Conclusion: kept; an entry with a known service and a later start can't be told from a restart.

--- a/shallotbridge/distribution/views.py
+++ b/shallotbridge/distribution/views.py
@@ -121,7 +121,7 @@
                 configuration = self._select_configuration(
                     configuration, content
                 )
-        self._drop_superseded(upstreams_by_id)
+        self._drop_superseded(upstreams_by_id, configuration)
         next_update_at = self._retain_expired(
             upstreams_by_id, now, outage_ended_at
         )
@@ -216,17 +216,25 @@
         )
         return found
 
-    def _drop_superseded(self, upstreams_by_id):
+    def _drop_superseded(self, upstreams_by_id, configuration):
         """Keep only the most recently started upstream at each address.
 
         The entry of a crashed upstream stays until it expires for lack of
-        reports.
+        reports. An entry of an unknown service, which may be of another
+        writer, does not supersede one of a known service.
         """
+        services_by_name = {}
+        if configuration is not None:
+            services_by_name = configuration.services_by_name
+
+        def rank(upstream):
+            return upstream.service in services_by_name, upstream.started_ms
+
         newest_by_endpoint = {}
         for upstream in upstreams_by_id.values():
             endpoint = (upstream.address, upstream.port)
             known = newest_by_endpoint.get(endpoint)
-            if known is None or known.started_ms < upstream.started_ms:
+            if known is None or rank(known) < rank(upstream):
                 newest_by_endpoint[endpoint] = upstream
         for upstream_id, upstream in list(upstreams_by_id.items()):
             if newest_by_endpoint[upstream.address, upstream.port] is not (
--- a/tests/distribution/test_views.py
+++ b/tests/distribution/test_views.py
@@ -269,3 +269,21 @@
         _update_at(builder, RESTORED, _entries(2, config=b"5"), now)
     assert builder.view.configuration.version == 7
     assert [action for action, _ in lines].count("configuration_ignored") == 1
+
+
+def test_an_entry_of_an_unknown_service_takes_no_upstreams_address():
+    """Guards against an odd entry that drives out a sound upstream.
+
+    It has the upstream's address and a later start.
+    """
+    builder, _ = _builder(
+        {
+            b"1": builders.upstream(1, started_ms=5),
+            b"odd": builders.upstream(
+                9, address="10.0.0.1", service="nobody", started_ms=2**50
+            ),
+            b"config": builders.configuration(version=1),
+        }
+    )
+    _update(builder, _items(a=(1, b"1"), b=(2, b"odd"), c=(3, b"config")))
+    assert set(builder.view.upstreams_by_id) == {"u1"}
