Soak: restores of the store, gaps in its watches, requests that end upstreams

Change: faults store_restore (what was lost is written again 1.2 s later) and harmful; store_history leaves a gap first. Checks: runs of a harmful request from 3 s after its third crash on, and callers that are refused with 429. The reports of upstreams are numbered.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -20,6 +20,7 @@
 # Pause between two probes of the active configuration version.
 PROBE_INTERVAL_SECONDS = 0.25
 RECONNECT_DELAY_SECONDS = 0.1
+HARMFUL_INTERVAL_SECONDS = 0.3
 # Number of requests after which a caller opens a new connection.
 REQUESTS_PER_CONNECTION = 60
 _request_numbers = itertools.count(1)
@@ -105,6 +106,32 @@
     return None
 
 
+async def repeat_harmful_request(fleet, seconds):
+    """Send a request that ends upstreams again and again, to any node."""
+    with trio.move_on_after(seconds):
+        while True:
+            host = fleet.random.choice(fleet.hosts)
+            stream = await _connect(host)
+            call = records.Call(
+                request_id=f"h{next(_request_numbers)}",
+                host=host.number,
+                is_idempotent=True,
+                sent_at=fleet.clock(),
+            )
+            fleet.records.harmful_calls_by_id[call.request_id] = call
+            try:
+                await _exchange(
+                    stream,
+                    http1.ResponseReader(stream=stream),
+                    "GET",
+                    fleet_module.HARMFUL_TARGET,
+                    call.request_id,
+                )
+            finally:
+                stream.close()
+            await trio.sleep(HARMFUL_INTERVAL_SECONDS)
+
+
 async def _probe_versions(fleet, host):
     """Poll the route that the latest published version added."""
     while True:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -19,6 +19,10 @@
 # A request that races with the close of an idle connection fails within this
 # time and has not run.
 CLOSE_RACE_SECONDS = 0.2
+# A request that ended this many upstreams runs at most so often from
+# RECOVERY_LIMIT_SECONDS later on.
+HARMFUL_CRASHES = 3
+HARMFUL_RUNS_ALLOWED = 3
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -30,6 +34,7 @@
         *_find_late_runs(records),
         *_find_runs_after_leaving_answers(records),
         *_find_exceeded_limits(records),
+        *_find_harmful_runs(records),
         *_find_version_violations(records),
         *_find_lost_requests(records),
     ]
@@ -46,7 +51,10 @@
     calls_by_id = {call.request_id: call for call in records.calls}
     for request_id, count in runs_by_id.items():
         call = calls_by_id.get(request_id)
-        if request_id in records.probe_request_ids:
+        if (
+            request_id in records.probe_request_ids
+            or request_id in records.harmful_calls_by_id
+        ):
             continue
         if call is None:
             yield f"{request_id}: ran, but no caller sent it"
@@ -134,6 +142,37 @@
                 break
 
 
+def _find_harmful_runs(records):
+    """Find runs of a request that has ended upstreams, and barred others.
+
+    Nodes of an older build send such a request on.
+    """
+    for call in records.calls:
+        if call.status == 429:
+            yield f"{call.request_id}: refused as if it ended upstreams"
+    if len(records.crashed_at) < HARMFUL_CRASHES or records.older_upstream_ids:
+        return
+    known_at = records.crashed_at[HARMFUL_CRASHES - 1] + RECOVERY_LIMIT_SECONDS
+    late_runs = []
+    for run in records.runs:
+        call = records.harmful_calls_by_id.get(run.request_id)
+        if (
+            call is not None
+            and run.at > known_at
+            and records.has_no_faults(
+                call.host, call.sent_at - RECOVERY_LIMIT_SECONDS, run.at
+            )
+        ):
+            late_runs.append(run)
+    if len(late_runs) > HARMFUL_RUNS_ALLOWED:
+        yield (
+            f"{len(late_runs)} runs of a request that had ended "
+            f"{HARMFUL_CRASHES} upstreams at "
+            f"{known_at - RECOVERY_LIMIT_SECONDS:.2f}, the last at "
+            f"{late_runs[-1].at:.2f}"
+        )
+
+
 def _find_version_violations(records):
     active_version_by_node = {}
     for probe in sorted(records.version_probes, key=lambda each: each.sent_at):
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -25,6 +25,9 @@
 RESTART_DELAY_SECONDS = 0.3
 # Time from the announcement of a drain to the replacement of the upstream.
 REPLACEMENT_DELAY_SECONDS = 2.5
+# An upstream that ended is back after this time.
+CRASH_SECONDS = 1.0
+HARMFUL_TARGET = "/browse/harmful"
 # Longest time from the first answer that says that an upstream is leaving to
 # the platform's news of it.
 MAXIMUM_ANNOUNCEMENT_DELAY_SECONDS = 1.5
@@ -81,6 +84,8 @@
         self.name = f"host-{number}"
         self.incarnation = 0
         self.upstream_number = 0
+        self.report_number = 0
+        self.crashed = trio.Event()
         self.limit = None
         self.is_leaving = False
         self.is_older = False
@@ -137,7 +142,7 @@
         self.version = 0
         self._store_address = f"{prefix}.0.1"
         self._process_manager = process_manager
-        self._random = random.Random(seed)
+        self.random = self._random = random.Random(seed)
         self._nursery = None
 
     async def start(self, nursery):
@@ -154,13 +159,16 @@
             await self._start_host(host)
 
     async def _start_host(self, host):
-        respond = functools.partial(self._respond, host)
-        for address, port, handler in (
-            (
-                host.public_address,
-                UPSTREAM_PORT,
-                store_standin.make_handler(respond),
+        await self._nursery.start(
+            functools.partial(
+                store_standin.serve_upstream, down_seconds=CRASH_SECONDS
             ),
+            host,
+            functools.partial(self._respond, host),
+            host.public_address,
+            UPSTREAM_PORT,
+        )
+        for address, port, handler in (
             (host.public_address, PEER_PORT, host.link_proxy.handle),
             (host.store_address, STORE_PORT, host.store_proxy.handle),
         ):
@@ -252,6 +260,7 @@
         self.records.domain_by_upstream[host.upstream_id] = host.domain
         if host.is_older:
             self.records.older_upstream_ids.add(host.upstream_id)
+        host.report_number += 1
         self.store.put(
             f"servers/{host.upstream_id}",
             {
@@ -264,7 +273,7 @@
                 },
                 "status": {
                     "state": state,
-                    "sequence": 1,
+                    "sequence": host.report_number,
                     "cold_remaining": "0ms",
                 },
                 "born": 1_700_000_000_000 + host.upstream_number,
@@ -292,6 +301,22 @@
         host.limit = None
         self.register(host)
 
+    async def _replace_crashed(self, host):
+        """End a host's upstream; another one starts later."""
+        if host.crashed.is_set() or host.is_leaving:
+            return
+        crashed_id = host.upstream_id
+        host.crashed.set()
+        began = self.clock()
+        self.records.crashed_at.append(began)
+        await trio.sleep(CRASH_SECONDS)
+        self.records.faults.append(("crash", host.number, began, self.clock()))
+        if host.upstream_id == crashed_id:
+            self.store.delete(f"servers/{crashed_id}")
+            host.upstream_number += 1
+            host.limit = None
+            self.register(host)
+
     async def name_limit(self, host, seconds):
         """Let a host's upstream name a limit in its answers for a time."""
         if host.limit is not None:
@@ -331,6 +356,9 @@
         upstream_id = host.upstream_id
         self.records.add_run(request_id, upstream_id, self.clock())
         await trio.sleep(self._random.uniform(0.005, 0.06))
+        if request.target == HARMFUL_TARGET and not host.is_leaving:
+            self._nursery.start_soon(self._replace_crashed, host)
+            return b""
         if host.is_leaving and host.upstream_id == upstream_id:
             self.records.said_leaving_at_by_id.setdefault(
                 upstream_id, self.clock()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -21,7 +21,8 @@
     "store_reset": (1, 0.0, 0.0),
     "store_stall": (2, 0.5, 4.0),
     "store_status": (2, 0.5, 3.0),
-    "store_history": (1, 0.0, 0.0),
+    "store_history": (1, 0.4, 1.2),
+    "store_restore": (2, 0.5, 5.0),
     "kill": (2, 0.0, 0.0),
     "pause": (2, 0.3, 3.0),
     "sighup": (1, 0.0, 0.0),
@@ -30,6 +31,7 @@
     "configurations": (1, 1.0, 2.0),
     "drain": (2, 0.0, 0.0),
     "limit": (3, 3.0, 7.0),
+    "harmful": (2, 6.0, 9.0),
     "domain_out": (1, 3.0, 6.0),
 }
 # Actions of operators; all other kinds are faults.
@@ -41,6 +43,7 @@
         "configurations",
         "drain",
         "limit",
+        "harmful",
         "domain_out",
     }
 )
--- a/soak/records.py
+++ b/soak/records.py
@@ -68,6 +68,10 @@
         # Failure domains out of service, as tuples of (domain, start, end).
         self.domains_out = []
         self.domain_by_upstream = {}
+        # Attempts of the request that ends upstreams, and the times at which
+        # it ended one.
+        self.harmful_calls_by_id = {}
+        self.crashed_at = []
         # Ids of requests that probe the active version.
         self.probe_request_ids = set()
         # Upstreams beside nodes of an older build, which ignore what an
--- a/soak/run.py
+++ b/soak/run.py
@@ -21,6 +21,10 @@
 LINK_DELAY_SECONDS = 0.12
 # Time from the end of the watches to the loss of the history.
 COMPACTION_DELAY_SECONDS = 0.2
+RESTORE_SECONDS = 0.7
+# Time after which operators and upstreams write again what a restored store
+# has lost.
+REWRITE_DELAY_SECONDS = 1.2
 
 
 def run_seed(seed, *, seconds, hosts, domains, older=None):
@@ -99,7 +103,11 @@
     """Run one entry; if it is a fault, record its host and time."""
     host = fleet.hosts[entry.host]
     began = fleet.clock()
-    affects_all = entry.kind in ("store_status", "store_history")
+    affects_all = entry.kind in (
+        "store_status",
+        "store_history",
+        "store_restore",
+    )
     await _ACTIONS[entry.kind](fleet, host, entry.seconds)
     if entry.kind not in plan_module.PLANNED:
         fleet.records.faults.append(
@@ -161,6 +169,24 @@
     fleet.store.compact_history()
 
 
+async def _restore_store(fleet, host, seconds):
+    """Restore the store from a copy; what it lost is written again."""
+    store = fleet.store
+    copy = store.copy()
+    await trio.sleep(seconds)
+    lost_items_by_key = dict(store.items_by_key)
+    store.status = 503
+    await trio.sleep(RESTORE_SECONDS)
+    store.restore(copy)
+    store.status = None
+    await trio.sleep(REWRITE_DELAY_SECONDS)
+    store.write_again(lost_items_by_key)
+
+
+async def _send_harmful_requests(fleet, host, seconds):
+    await callers.repeat_harmful_request(fleet, seconds)
+
+
 async def _kill(fleet, host, seconds):
     fleet.send_signal(host, signal.SIGKILL)
     await trio.sleep(KILL_RECOVERY_SECONDS)
@@ -211,6 +237,8 @@
     "store_stall": _stall_store,
     "store_status": _fail_store_calls,
     "store_history": _compact_history,
+    "store_restore": _restore_store,
+    "harmful": _send_harmful_requests,
     "kill": _kill,
     "pause": _pause,
     "sighup": _send_sighup,
--- a/standins/store.py
+++ b/standins/store.py
@@ -52,6 +52,7 @@
         self._events = []
         self._changed = trio.Event()
         self._cuts = trio.Event()
+        self._restored_to = 0
 
     def put(self, key, document):
         """Write an item; a dictionary is encoded as JSON."""
@@ -69,8 +70,9 @@
         self._add_event(item)
 
     def delete(self, key):
-        """Delete an item."""
-        del self.items_by_key[key]
+        """Delete an item if it exists."""
+        if self.items_by_key.pop(key, None) is None:
+            return
         self.revision += 1
         self._add_event(
             {"key": key, "revision": self.revision, "deleted": True}
@@ -97,11 +99,27 @@
         """
         self.revision, items_by_key = copy
         self.items_by_key = dict(items_by_key)
+        self._restored_to = self.revision
         self.era += 1
         self._events.clear()
         self.oldest_revision = 0
         self.cut_watches()
 
+    def write_again(self, items_by_key):
+        """Write what a restore has lost or brought back.
+
+        Items that were written since the restore stay.
+        """
+        for key in self.items_by_key.keys() | items_by_key.keys():
+            wanted = items_by_key.get(key)
+            found = self.items_by_key.get(key)
+            if found is not None and found["revision"] > self._restored_to:
+                continue
+            if wanted is None:
+                self.delete(key)
+            elif found is None or found["value"] != wanted["value"]:
+                self.put(key, base64.b64decode(wanted["value"]))
+
     def cut_watches(self):
         """End the connections of all waiting watches."""
         self._cuts.set()
@@ -277,6 +295,7 @@
 
 async def serve_upstream(
     state,
+    respond,
     address,
     port,
     *,
@@ -289,6 +308,9 @@
     Parameters
     ----------
     state : UpstreamState
+        Its event `crashed` ends the upstream; it is replaced then.
+    respond : callable
+        See ``make_handler``.
     address : str
     port : int
     down_seconds : float
@@ -296,9 +318,7 @@
     repeats_refusals : bool
         See ``make_handler``.
     """
-    handler = make_handler(
-        state.handle_request, repeats_refusals=repeats_refusals
-    )
+    handler = make_handler(respond, repeats_refusals=repeats_refusals)
     while True:
         state.crashed = trio.Event()
         async with trio.open_nursery() as nursery:
--- a/tests/runtime/loopback.py
+++ b/tests/runtime/loopback.py
@@ -85,6 +85,7 @@
                 repeats_refusals=self._repeats_refusals,
             ),
             upstream,
+            upstream.handle_request,
             address,
             UPSTREAM_PORT,
         )
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -139,3 +139,21 @@
     assert checks.find_violations(run_records) == []
     run_records.said_leaving_at_by_id["u0-0"] = 17.9
     assert len(checks.find_violations(run_records)) == 1
+
+
+def test_runs_of_a_request_that_ended_upstreams_are_violations():
+    """Guards against a check that misses a request that takes all down."""
+    run_records = _records(_call())
+    run_records.crashed_at = [5.0, 6.0, 7.0]
+    for number in range(4):
+        call = _call(f"h{number}", sent_at=10.5 + number)
+        run_records.harmful_calls_by_id[call.request_id] = call
+        run_records.add_run(call.request_id, "u0-0", 10.6 + number)
+    assert len(checks.find_violations(run_records)) == 1
+    del run_records.harmful_calls_by_id["h0"], run_records.runs[0]
+    assert checks.find_violations(run_records) == []
+
+
+def test_a_refused_bystander_is_a_violation():
+    """Guards against a check that misses barred bystanders."""
+    assert len(checks.find_violations(_records(_call(status=429)))) == 1
