Repair copies that differ at the same position

Callers would see: requests to an upstream that one node keeps after it has left, or an older configuration (CONFIG, DRAIN), for as long as nothing else changes. Cause: copies of one position with different digests were logged as copies_differ and nothing repaired them. Change: on a difference a reader reads the platform, and another node pulls a whole copy from its parent, at most every 5 s. Measured: test_copies_that_differ_are_repaired fails before in both cases and passes.

--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -59,8 +59,10 @@
 PULL_WAIT_SECONDS = 1.0
 # How long a reply may take beyond the long-poll timeout.
 PULL_TIMEOUT_SECONDS = 1.5
-# Minimum interval between two log lines about peers whose copies differ.
+# Minimum interval between two log lines about peers whose copies differ, and
+# between two attempts to repair the own copy.
 DIFFERENCE_LOG_INTERVAL_SECONDS = 1.0
+REPAIR_INTERVAL_SECONDS = 5.0
 _PULL_ERRORS = (
     errors.CallError,
     errors.PeerUnavailableError,
@@ -181,6 +183,9 @@
         self._confirmation_due_at = -math.inf
         self._history_lost_at = -math.inf
         self._difference_log_due_at = -math.inf
+        self._repair_due_at = -math.inf
+        # Whether the next pull is to replace the whole copy.
+        self._needs_whole_copy = False
         self._outage_began_at = None
         self._outage_ended_at = -math.inf
         self.platform_call_count = 0
@@ -301,6 +306,7 @@
         self._on_platform_available()
         self._mirror.replace(items, position)
         if not may_be_stale:
+            self._needs_whole_copy = False
             self._complete_at = began_at
             self._is_confirmed = True
             size = sum(len(item.value or b"") for item in items)
@@ -450,7 +456,7 @@
             The platform rejected the node's calls.
         """
         peer = self._link_to(address)
-        position = self._mirror.position
+        position = 0 if self._needs_whole_copy else self._mirror.position
         with trio.move_on_after(wait_seconds + PULL_TIMEOUT_SECONDS):
             reply = await peer.exchange(
                 link.Pull(
@@ -492,7 +498,9 @@
             self._outage_began_at = None
         if reply.position >= self._mirror.position:
             self._complete_at = max(self._complete_at, complete_at)
-        if reply.position <= self._mirror.position:
+        if reply.position < self._mirror.position or (
+            reply.position == self._mirror.position and not reply.is_whole
+        ):
             self._compare_digest(address, reply.position, reply.digest)
             return
         self._record(
@@ -506,6 +514,7 @@
         )
         items = [_decompress(item) for item in reply.items]
         if reply.is_whole:
+            self._needs_whole_copy = False
             self._mirror.replace(items, reply.position)
         else:
             self._mirror.apply(items, reply.position)
@@ -513,10 +522,18 @@
         self._notify()
 
     def _compare_digest(self, address, position, digest):
-        """Log a peer whose copy of the same revision has another digest."""
+        """Log a peer whose copy of the same position has another digest.
+
+        Either copy may be the wrong one, so both nodes repair theirs: a
+        reader reads the platform, others get a whole copy of their parent.
+        """
         mirror = self._mirror
         if digest and position == mirror.position and digest != mirror.digest:
             now = trio.current_time()
+            if now >= self._repair_due_at:
+                self._repair_due_at = now + REPAIR_INTERVAL_SECONDS
+                self._is_confirmed = False
+                self._needs_whole_copy = True
             if now >= self._difference_log_due_at:
                 self._difference_log_due_at = (
                     now + DIFFERENCE_LOG_INTERVAL_SECONDS
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -637,6 +637,53 @@
     assert "copies_differ" in actions
 
 
+@pytest.mark.parametrize("missed_by", [1, 2])
+async def test_copies_that_differ_are_repaired(autojump_clock, missed_by):
+    """Guards against an upstream that one node keeps after it has left.
+
+    A reader and the node that pulls from it have the same position, but one
+    of them missed a deletion.
+    """
+    peers = _Peers()
+
+    async def read_all(may_be_stale):
+        return [_item("a", 1)], 5
+
+    async def read_revision():
+        return 5
+
+    async def watch(position, seconds):
+        await trio.sleep(seconds)
+        return [], position
+
+    nodes = [
+        _follower(
+            number,
+            peers,
+            members=(1, 2),
+            watch=watch,
+            read_all=read_all,
+            read_revision=read_revision,
+        )[0]
+        for number in (1, 2)
+    ]
+    nodes.sort(key=lambda node: not node.is_reader())
+    for number, node in enumerate(nodes, 1):
+        items = [_item("a", 1)] + [_item("b", 2)] * (number == missed_by)
+        _make_current(node, items, 5)
+        node._is_confirmed = True
+    async with trio.open_nursery() as nursery:
+        for node in nodes:
+            nursery.start_soon(node._follow)
+        for node, other in (nodes, reversed(nodes)):
+            state = other.mirror_state()
+            node.on_position(other._own_address, 5, state.digest)
+        await trio.sleep(nodes[0]._watch_seconds + 2.0)
+        for node in nodes:
+            assert set(node._mirror.items_by_key) == {"a"}
+        nursery.cancel_scope.cancel()
+
+
 async def test_the_age_of_a_pulled_copy_includes_the_age_at_the_peer(
     autojump_clock,
 ):
