Forget the removal of an upstream that is registered again

Callers would see: a running upstream out of use for 6 s after a restore of the store (found by reading). Cause: the record of a removal stayed for a minute although the upstream had come back, and a copy with an earlier report was then taken for one of an upstream that left. Change: an upstream in the view has no record of its removal. Measured: test_an_upstream_that_returned_is_not_ignored_after_a_restore passes; not run on the code before.

--- a/shallotbridge/distribution/views.py
+++ b/shallotbridge/distribution/views.py
@@ -308,6 +308,9 @@
     def _remember_removed(self, upstreams_by_id, now):
         """Remember the upstreams that are removed by this update."""
         removed_by_id = self._removed_by_id
+        for upstream_id in removed_by_id.keys() & upstreams_by_id.keys():
+            del removed_by_id[upstream_id]
+            self._ignored_ids.discard(upstream_id)
         for upstream_id, upstream in self.view.upstreams_by_id.items():
             if upstream_id not in upstreams_by_id:
                 removed_by_id[upstream_id] = (upstream, now)
--- a/tests/distribution/test_views.py
+++ b/tests/distribution/test_views.py
@@ -221,6 +221,26 @@
         assert "u2" in builder.view.upstreams_by_id
 
 
+def test_an_upstream_that_returned_is_not_ignored_after_a_restore():
+    """Guards against a running upstream that is put out of use.
+
+    Its entry expired once and came back; then the store goes back to a copy
+    with an earlier report.
+    """
+    contents = {
+        b"old": builders.upstream(1, started_ms=5, report=4),
+        b"expired": builders.upstream(1, started_ms=5, report=7),
+        b"back": builders.upstream(1, started_ms=5, report=8),
+    }
+    builder, _ = _builder(contents)
+    _update_at(builder, FIRST, _entries(1, a=b"expired"), 0.0)
+    _update_at(builder, FIRST + 1, {}, 5.0)
+    returned = _items(a=(FIRST + 2, b"back"))
+    _update_at(builder, FIRST + 2, returned, 6.0)
+    _update_at(builder, RESTORED, _entries(2, a=b"old"), 10.0)
+    assert set(builder.view.upstreams_by_id) == {"u1"}
+
+
 def test_a_draining_upstream_stays_so_when_the_store_is_restored():
     """Guards against new requests to an upstream that is about to end."""
     contents = {
