Exchange crash records only where they differ; a server error clears none

Cause: each gossip ping and its answer carried up to 32 records for ten minutes after a crash, 2 kB each time, and each piece of news sent all of them on (found by reading). A 500 of an upstream that did not run the request cleared it for good. Change: gossip compares a digest of the table; only tables that differ are exchanged, whole (250 records at most). News is batched for 50 ms and sent alone. Answers with a status from 500 on clear nothing. Measured: test_records_are_sent_only_to_nodes_that_lack_them, test_equal_tables_have_equal_digests and test_a_server_error_does_not_clear_a_harmful_request pass; tests of tests/runtime, traffic, peers and distribution pass.

--- a/shallotbridge/_generated/link.py
+++ b/shallotbridge/_generated/link.py
@@ -187,9 +187,9 @@
     # the same of its copy of the configuration
     configuration_position: int = 0
     configuration_digest: int = 0
-    # the answer is to have the receiver's crash records
-    is_gossip: bool = False
-    # the sender's latest ones
+    # of the sender's crash records; -1: not told
+    crash_digest: int = -1
+    # those that the receiver may not know
     crash_records: tuple[CrashRecord, ...] = ()
 
 
@@ -203,7 +203,9 @@
     """Answers a Ping."""
 
     load: Load
-    # the sender's latest ones
+    # of the sender's crash records if it differs from that in the Ping
+    crash_digest: int = -1
+    # all of the sender, in that case
     crash_records: tuple[CrashRecord, ...] = ()
 
 
--- a/shallotbridge/peers/links.py
+++ b/shallotbridge/peers/links.py
@@ -64,8 +64,8 @@
     on_load_report : callable
         ``on_load_report(address, load)`` is called with each Load of the peer.
     on_crash_records : callable
-        ``on_crash_records(records)`` is called with the crash records of the
-        peer that come with a Pong.
+        ``on_crash_records(link, pong)`` is called with each Pong of a peer
+        whose crash records differ.
     on_reachability_changed : callable
         ``on_reachability_changed(address, is_reachable, reason)`` is called
         when the peer becomes reachable or unreachable.
@@ -85,7 +85,7 @@
         on_position,
         on_load_report,
         on_reachability_changed,
-        on_crash_records=lambda records: None,
+        on_crash_records=lambda link, pong: None,
         keepalive_seconds=KEEPALIVE_SECONDS,
     ):
         self.address = address
@@ -267,8 +267,8 @@
             if load is not None:
                 self._on_load_report(self.address, load)
                 self._on_position(self.address, load)
-            if type(message) is link.Pong and message.crash_records:
-                self._on_crash_records(message.crash_records)
+            if type(message) is link.Pong and message.crash_digest >= 0:
+                self._on_crash_records(self, message)
             call = self._calls_by_id.get(getattr(message, "call_id", None))
             if call is not None:
                 call.reply = message
@@ -354,12 +354,19 @@
         """Request the peer's load and revisions if it is connected."""
         self._ping()
 
-    def exchange_crash_records(self, records):
-        """Send crash records and request the peer's if it is connected.
+    def compare_crash_records(self, digest):
+        """Ping the peer, which replies with its crash records if they differ.
 
-        The reply comes with the load and the revisions, as that to a ping.
+        Parameters
+        ----------
+        digest : int
+            Of the crash records of this node.
         """
-        self._ping(is_gossip=True, crash_records=records)
+        self._ping(crash_digest=digest)
+
+    def send_crash_records(self, records):
+        """Send crash records, with a ping, if the peer is connected."""
+        self._ping(crash_records=records)
 
     def _ping(self, **gossip):
         if self._stream is not None:
--- a/shallotbridge/peers/server.py
+++ b/shallotbridge/peers/server.py
@@ -26,9 +26,9 @@
     on_position : callable
         ``on_position(address, ping)`` is called with each Ping, which has the
         revisions of the peer's copies.
-    exchange_crash_records : callable
-        ``exchange_crash_records(records)`` is called with the crash records
-        of a Ping, and returns those of this node.
+    answer_crash_records : callable
+        ``answer_crash_records(ping)`` merges the crash records of a Ping and
+        returns the fields of the Pong on those of this node, as a dict.
     """
 
     def __init__(
@@ -38,13 +38,13 @@
         answer_pull,
         read_load,
         on_position,
-        exchange_crash_records=lambda records: (),
+        answer_crash_records=lambda ping: {},
     ):
         self._run_work = run_work
         self._answer_pull = answer_pull
         self._read_load = read_load
         self._on_position = on_position
-        self._exchange_crash_records = exchange_crash_records
+        self._answer_crash_records = answer_crash_records
         self.connection_count = 0
 
     async def handle(self, stream):
@@ -114,11 +114,11 @@
         elif kind is link.Ping:
             transit_delays.measure(message.sent_at)
             self._on_position(stream.peer_address, message)
-            records = ()
-            if message.is_gossip:
-                records = self._exchange_crash_records(message.crash_records)
             writer.send(
-                link.Pong(load=self._read_load(), crash_records=records)
+                link.Pong(
+                    load=self._read_load(),
+                    **self._answer_crash_records(message),
+                )
             )
         elif kind is link.Pull:
             nursery.start_soon(self._serve_pull, message, writer)
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -40,6 +40,8 @@
 # A node that answers a ping within this time is used again. The latency
 # between nodes is some milliseconds.
 PING_TIMEOUT_SECONDS = 0.1
+# For how long news of crashes are batched before they are sent on.
+CRASH_NEWS_DELAY_SECONDS = 0.05
 METRICS_PATH = "/metrics"
 
 
@@ -164,8 +166,8 @@
             ),
             link_to=self._get_link,
             topic=follower.UPSTREAMS,
-            gossip=lambda peer: peer.exchange_crash_records(
-                self._crash_records.export()
+            gossip=lambda peer: peer.compare_crash_records(
+                self._crash_records.digest
             ),
         )
         self._configuration_mirror = mirror.ItemMirror()
@@ -185,6 +187,8 @@
         )
         self._traffic_splitter = routing.TrafficSplitter()
         self._crash_records = crash_records.CrashRecords()
+        # Fingerprints of the records to send to the gossip peers.
+        self._crash_news = set()
         self._owner = owner.OwnerServer(
             own_host=own_host,
             header_names=header_names,
@@ -223,7 +227,7 @@
             answer_pull=self._answer_pull,
             read_load=self._owner.load,
             on_position=self._on_position,
-            exchange_crash_records=self._exchange_crash_records,
+            answer_crash_records=self._answer_crash_records,
         )
         self._register_metrics()
 
@@ -272,7 +276,7 @@
             self._links_by_address,
             address,
             on_reachability_changed=self._on_reachability_changed,
-            on_crash_records=self._merge_crash_records,
+            on_crash_records=self._on_crash_records,
             keepalive_seconds=peer_links.KEEPALIVE_SECONDS,
         )
 
@@ -369,34 +373,60 @@
     def _merge_crash_records(self, records):
         """Add the crash records of another node; pass on what is new."""
         barred_before = self._crash_records.barred_count
-        if not self._crash_records.merge(records):
+        news = self._crash_records.merge(records)
+        if not news:
             return
         barred = self._crash_records.barred_count
         if barred != barred_before:
             decisions.record(
                 "requests_barred", chosen=barred, previous=barred_before
             )
-        self._spread_crash_records()
+        self._spread_crash_records(news)
+
+    def _on_crash_records(self, peer, pong):
+        """Merge the differing records of a peer, and send it the own ones."""
+        self._merge_crash_records(pong.crash_records)
+        if pong.crash_digest != self._crash_records.digest:
+            peer.send_crash_records(self._crash_records.export())
+
+    def _answer_crash_records(self, ping):
+        self._merge_crash_records(ping.crash_records)
+        digest = self._crash_records.digest
+        if ping.crash_digest in (-1, digest):
+            return {}
+        return {
+            "crash_digest": digest,
+            "crash_records": self._crash_records.export(),
+        }
 
-    def _exchange_crash_records(self, records):
-        self._merge_crash_records(records)
-        return self._crash_records.export()
+    def _spread_crash_records(self, fingerprints):
+        """Send news of crashes to the gossip peers, batched for a moment."""
+        if not self._crash_news:
+            self._nursery.start_soon(
+                supervision.keep_running, self._send_crash_news
+            )
+        self._crash_news.update(fingerprints)
 
-    def _spread_crash_records(self):
-        """Send news of crashes to the gossip peers at once."""
+    async def _send_crash_news(self):
+        await trio.sleep(CRASH_NEWS_DELAY_SECONDS)
+        records = self._crash_records.export(self._crash_news)
+        self._crash_news.clear()
         for address in self._upstream_follower.gossip_peers():
             self._nursery.start_soon(
-                supervision.keep_running, self._send_crash_records, address
+                supervision.keep_running,
+                self._send_crash_records,
+                address,
+                records,
             )
 
-    async def _send_crash_records(self, address):
+    async def _send_crash_records(self, address, records):
         peer = self._get_link(address)
         try:
             await peer.connect()
         except errors.UpstreamUnreachableError:
             # The periodic gossip tells this peer when it is back.
             return
-        peer.exchange_crash_records(self._crash_records.export())
+        peer.send_crash_records(records)
 
     def _on_reachability_changed(self, address, is_reachable, reason):
         if self._is_reachable_by_address.get(address) is not is_reachable:
--- a/shallotbridge/traffic/crash_records.py
+++ b/shallotbridge/traffic/crash_records.py
@@ -18,9 +18,7 @@
 # How long after its last crash a request is refused. A client that repeats it
 # later may end as many upstreams again.
 RECORD_SECONDS = 600.0
-MAXIMUM_RECORDS = 1000
-# Number of records in one message between nodes, the latest ones first.
-MAXIMUM_SENT_RECORDS = 32
+MAXIMUM_RECORDS = 250
 # Requests that completed within this time are not blamed for a crash.
 SUCCESS_SECONDS = 30.0
 MAXIMUM_SUCCESSES = 4096
@@ -58,12 +56,25 @@
     """
 
     def __init__(self):
-        self._records_by_fingerprint = collections.OrderedDict()
+        self._records_by_fingerprint = {}
+        self._digest = None
         self._succeeded_at_by_fingerprint = collections.OrderedDict()
 
     def __len__(self):
         return len(self._records_by_fingerprint)
 
+    @property
+    def digest(self):
+        """Digest that is equal for equal tables; 0 for an empty one."""
+        self._drop_expired(trio.current_time())
+        if self._digest is None:
+            self._digest = 0
+            for fingerprint, record in self._records_by_fingerprint.items():
+                crash_ids = sorted(record.crash_ids)
+                content = f"{fingerprint} {crash_ids} {record.is_cleared}"
+                self._digest ^= _digest(content.encode(), b"")
+        return self._digest
+
     @property
     def barred_count(self):
         """Number of requests that are refused."""
@@ -79,7 +90,6 @@
         if record is None or record.is_cleared:
             return 0
         if record.crashed_at + RECORD_SECONDS <= trio.current_time():
-            del self._records_by_fingerprint[fingerprint]
             return 0
         return len(record.crash_ids)
 
@@ -148,32 +158,37 @@
         return self._add(fingerprint, frozenset(), True, now)
 
     def merge(self, records):
-        """Add the records of another node; return whether any is news.
+        """Add the records of another node.
 
         Parameters
         ----------
         records : iterable of link.CrashRecord
+
+        Returns
+        -------
+        set of int
+            The fingerprints of the records that were news.
         """
         now = trio.current_time()
-        is_news = False
+        news = set()
         for record in records:
             age_seconds = max(0.0, record.age_ms / 1000)
             if not age_seconds < RECORD_SECONDS:
                 continue
-            is_news |= self._add(
+            if self._add(
                 record.fingerprint,
                 frozenset(record.crash_ids[:CRASH_LIMIT]),
                 record.is_cleared
                 or self._has_succeeded(record.fingerprint, now),
                 now - age_seconds,
-            )
-        return is_news
+            ):
+                news.add(record.fingerprint)
+        return news
 
-    def export(self):
-        """Return the latest records as ``link.CrashRecord``."""
+    def export(self, fingerprints=None):
+        """Return records as ``link.CrashRecord``, by default all of them."""
         now = trio.current_time()
         self._drop_expired(now)
-        latest = list(self._records_by_fingerprint.items())
         return tuple(
             link.CrashRecord(
                 fingerprint=fingerprint,
@@ -181,7 +196,8 @@
                 is_cleared=record.is_cleared,
                 age_ms=(now - record.crashed_at) * 1000,
             )
-            for fingerprint, record in latest[-MAXIMUM_SENT_RECORDS:]
+            for fingerprint, record in self._records_by_fingerprint.items()
+            if fingerprints is None or fingerprint in fingerprints
         )
 
     def _has_succeeded(self, fingerprint, now):
@@ -202,17 +218,25 @@
         self._records_by_fingerprint[fingerprint] = _Record(
             crash_ids=crash_ids, is_cleared=is_cleared, crashed_at=crashed_at
         )
-        self._records_by_fingerprint.move_to_end(fingerprint)
+        self._digest = None
         self._drop_expired(trio.current_time())
         while len(self._records_by_fingerprint) > MAXIMUM_RECORDS:
-            self._records_by_fingerprint.popitem(last=False)
+            oldest = min(
+                self._records_by_fingerprint,
+                key=lambda each: self._records_by_fingerprint[each].crashed_at,
+            )
+            del self._records_by_fingerprint[oldest]
         return True
 
     def _drop_expired(self, now):
-        for fingerprint, record in list(self._records_by_fingerprint.items()):
-            if record.crashed_at + RECORD_SECONDS > now:
-                break
+        expired = [
+            fingerprint
+            for fingerprint, record in self._records_by_fingerprint.items()
+            if record.crashed_at + RECORD_SECONDS <= now
+        ]
+        for fingerprint in expired:
             del self._records_by_fingerprint[fingerprint]
+            self._digest = None
 
 
 def make_fingerprint(*, method, target, host, caller_service, body):
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -87,7 +87,8 @@
         answer says that the upstream is leaving.
     known_crashes : crash_records.CrashRecords, optional
     on_crash_records_changed : callable
-        Called without arguments after this node has changed the records.
+        ``on_crash_records_changed(fingerprints)`` is called after this node
+        has changed records.
     record : callable
         ``record(action, **fields)`` writes the decision log.
     """
@@ -104,7 +105,7 @@
         cold_slack,
         on_leaving=lambda upstream_id, started_ms, **source: None,
         known_crashes=None,
-        on_crash_records_changed=lambda: None,
+        on_crash_records_changed=lambda fingerprints: None,
         record=decisions.record,
     ):
         self._own_host = own_host
@@ -526,8 +527,11 @@
             request = self._make_request(work, ticket.deadline_at - now)
             self._fingerprints_by_ticket[ticket] = fingerprint
             response = await self._exchange(work, request, ticket)
-            if self._known_crashes.on_success(fingerprint):
-                self._on_crash_records_changed()
+            # A server error may come from an upstream that did not run it.
+            if response.status < 500 and self._known_crashes.on_success(
+                fingerprint
+            ):
+                self._on_crash_records_changed((fingerprint,))
             self._last_answer_at = now = trio.current_time()
             is_completed = True
             self._admission.on_completed(ticket, now)
@@ -620,7 +624,7 @@
             ],
         )
         if blamed:
-            self._on_crash_records_changed()
+            self._on_crash_records_changed(blamed)
 
     def _make_request(self, work, remaining):
         header_names = self._header_names
--- a/tests/runtime/test_crashing_requests.py
+++ b/tests/runtime/test_crashing_requests.py
@@ -110,3 +110,37 @@
         await trio.sleep(1.5)
         for path in ("/browse/1", "/browse/cut"):
             await _check_is_served(mesh, path)
+
+
+async def test_a_server_error_does_not_clear_a_harmful_request():
+    """Guards against a harmful request that an impaired upstream answers."""
+    async with loopback.start_mesh(2) as mesh:
+        records = mesh.nodes[0]._crash_records
+        records.on_crash([1], 1)
+        for node in mesh.nodes:
+            node._owner._make_fingerprint = lambda work: 1
+        for upstream in mesh.upstreams:
+            upstream.cut_response = (
+                b"HTTP/1.1 500 Internal Server Error\r\nattempt-id: r\r\n"
+                b"server-signature: s\r\ncontent-length: 0\r\n\r\n"
+            )
+        response = await mesh.send_request(1, "r", **loopback.UNSPLIT_REQUEST)
+        assert response.status == 500
+        assert records.crash_count(1) == 1
+
+
+async def test_records_are_sent_only_to_nodes_that_lack_them():
+    """Guards against messages that grow with old crashes."""
+    async with loopback.start_mesh(4) as mesh:
+        first = mesh.nodes[0]
+        first._crash_records.on_crash([1, 2], 7)
+        first._spread_crash_records((1, 2))
+        await loopback.wait_until(
+            lambda: all(len(node._crash_records) == 2 for node in mesh.nodes)
+        )
+        await trio.sleep(1.0)
+        sent = []
+        for node in mesh.nodes:
+            node._crash_records.export = lambda *only: sent.append(only) or ()
+        await trio.sleep(2.0)
+        assert not sent
