Let a retained upstream yield to its successor at the same address

Callers would see: a request refused by the wrong instance and offered elsewhere, for up to 2 s after a restore or an outage. Cause: upstreams without an entry were added after superseded ones had been dropped, so both incarnations at an address were in use. Change: superseded upstreams are dropped last. Measured: test_a_retained_upstream_yields_to_its_successor fails before and passes.

--- a/shallotbridge/distribution/views.py
+++ b/shallotbridge/distribution/views.py
@@ -121,10 +121,10 @@
                 configuration = self._select_configuration(
                     configuration, content
                 )
-        self._drop_superseded(upstreams_by_id, configuration)
         next_update_at = self._retain_expired(
             upstreams_by_id, now, outage_ended_at
         )
+        self._drop_superseded(upstreams_by_id, configuration)
         operators_write_until = (
             self._operator_restore.began_at + RESTORED_ENTRY_GRACE_SECONDS
         )
--- a/tests/distribution/test_views.py
+++ b/tests/distribution/test_views.py
@@ -307,3 +307,20 @@
     )
     _update(builder, _items(a=(1, b"1"), b=(2, b"odd"), c=(3, b"config")))
     assert set(builder.view.upstreams_by_id) == {"u1"}
+
+
+def test_a_retained_upstream_yields_to_its_successor():
+    """Guards against two upstreams at one address after a restore.
+
+    The copy lacks the entry of an upstream that has been replaced meanwhile.
+    """
+    builder, _ = _builder(
+        {
+            b"1": builders.upstream(1, started_ms=5),
+            b"2": builders.upstream(2, address="10.0.0.1", started_ms=6),
+        }
+    )
+    _update_at(builder, FIRST, _entries(1, a=b"1"), 0.0)
+    _update_at(builder, RESTORED, _entries(2, b=b"2"), 10.0)
+    _update_at(builder, RESTORED, _entries(2, b=b"2"), 10.1)
+    assert set(builder.view.upstreams_by_id) == {"u2"}
