Bound the exchange of crash records and the work for each ping

Cause: each ping counted the refused requests of the whole table, and tables that stay different, as full ones do, were exchanged with each gossip ping (found by reading). Change: whole tables are exchanged once in 2 s at most by each node; a ping without records costs nothing.

--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -42,6 +42,8 @@
 PING_TIMEOUT_SECONDS = 0.1
 # For how long news of crashes are batched before they are sent on.
 CRASH_NEWS_DELAY_SECONDS = 0.05
+# Minimum interval between two exchanges of whole tables of crash records.
+CRASH_EXCHANGE_INTERVAL_SECONDS = 2.0
 METRICS_PATH = "/metrics"
 
 
@@ -166,9 +168,7 @@
             ),
             link_to=self._get_link,
             topic=follower.UPSTREAMS,
-            gossip=lambda peer: peer.compare_crash_records(
-                self._crash_records.digest
-            ),
+            gossip=self._ping_gossip_peer,
         )
         self._configuration_mirror = mirror.ItemMirror()
         self._configuration_follower = make_follower(
@@ -189,6 +189,7 @@
         self._crash_records = crash_records.CrashRecords()
         # Fingerprints of the records to send to the gossip peers.
         self._crash_news = set()
+        self._crash_exchange_due_at = -math.inf
         self._owner = owner.OwnerServer(
             own_host=own_host,
             header_names=header_names,
@@ -372,6 +373,8 @@
 
     def _merge_crash_records(self, records):
         """Add the crash records of another node; pass on what is new."""
+        if not records:
+            return
         barred_before = self._crash_records.barred_count
         news = self._crash_records.merge(records)
         if not news:
@@ -383,16 +386,27 @@
             )
         self._spread_crash_records(news)
 
+    def _ping_gossip_peer(self, peer):
+        if trio.current_time() < self._crash_exchange_due_at:
+            peer.ping()
+        else:
+            peer.compare_crash_records(self._crash_records.digest)
+
     def _on_crash_records(self, peer, pong):
         """Merge the differing records of a peer, and send it the own ones."""
+        self._crash_exchange_due_at = (
+            trio.current_time() + CRASH_EXCHANGE_INTERVAL_SECONDS
+        )
         self._merge_crash_records(pong.crash_records)
         if pong.crash_digest != self._crash_records.digest:
             peer.send_crash_records(self._crash_records.export())
 
     def _answer_crash_records(self, ping):
         self._merge_crash_records(ping.crash_records)
+        if ping.crash_digest == -1:
+            return {}
         digest = self._crash_records.digest
-        if ping.crash_digest in (-1, digest):
+        if ping.crash_digest == digest:
             return {}
         return {
             "crash_digest": digest,
