--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -77,19 +77,21 @@
     Attributes
     ----------
     read_all : callable
-        ``await read_all(may_be_stale)`` returns all items and their revision.
+        ``await read_all(may_be_stale)`` returns all items and the position
+        up to which they are complete; see ``positions``.
     watch : callable
         ``await watch(position, seconds)`` returns the changes after a
-        revision and the revision they lead to, after a long poll of at most
+        position and the position they lead to, after a long poll of at most
         that many seconds; raises ``HistoryLostError``. An empty result does
         not prove that there was no change.
-    read_revision : callable
-        ``await read_revision()`` returns the latest revision of all topics.
+    read_position : callable
+        ``await read_position()`` returns the platform's latest position, of
+        any topic.
     """
 
     read_all: typing.Callable
     watch: typing.Callable
-    read_revision: typing.Callable
+    read_position: typing.Callable
 
 
 class Follower:
@@ -153,7 +155,7 @@
         self._read_all = source.read_all
         self._read_nodes = read_nodes
         self._watch = source.watch
-        self._read_revision = source.read_revision
+        self._read_position = source.read_position
         self._on_change = on_change
         self._own_address = own_address
         self._tree = tree.DistributionTree(
@@ -304,15 +306,16 @@
         previous = self._mirror.position
         items, position = await self._read_all(may_be_stale)
         self._on_platform_available()
-        self._mirror.replace(items, position)
+        is_applied = self._mirror.replace(items, position)
         if not may_be_stale:
             self._needs_whole_copy = False
-            self._complete_at = began_at
             self._is_confirmed = True
             size = sum(len(item.value or b"") for item in items)
             self._confirmation_due_at = (
                 trio.current_time() + size / CONFIRMATION_BYTES_PER_SECOND
             )
+        if is_applied and not may_be_stale:
+            self._complete_at = began_at
             self._set_current()
         self._record(
             "items_read",
@@ -374,17 +377,17 @@
         """Check that a watch without changes has missed none.
 
         A platform that dropped its history may leave a watch unanswered. If
-        its latest revision is that of this copy, the copy is complete.
-        Otherwise the revision may belong to the other topic, and a full read
+        its latest position is that of this copy, the copy is complete.
+        Otherwise the latest change may be of the other topic, and a full read
         tells; large topics are read less often.
         """
         self.platform_call_count += 1
         began_at = trio.current_time()
-        revision = await self._read_revision()
-        if revision == self._mirror.position:
+        latest = await self._read_position()
+        if latest == self._mirror.position:
             self._complete_at = began_at
         elif began_at >= self._confirmation_due_at or (
-            positions.get_era(revision)
+            positions.get_era(latest)
             != positions.get_era(self._mirror.position)
         ):
             self._is_confirmed = False
--- a/shallotbridge/distribution/mirror.py
+++ b/shallotbridge/distribution/mirror.py
@@ -1,4 +1,7 @@
-"""A local copy of the platform's published items as of one revision."""
+"""A local copy of the platform's published items as of one position.
+
+The revisions of the items are positions too: they have the store's era.
+"""
 
 import collections
 import dataclasses
@@ -22,7 +25,8 @@
     Attributes
     ----------
     position : int
-        Revision up to which the copy is complete; 0 before the first read.
+        Position up to which the copy is complete, see ``positions``; 0 before
+        the first read.
     digest : int
         Equal for all copies with the same keys and revisions.
     age : float
@@ -55,7 +59,8 @@
     ----------
     items_by_key : dict of str to link.PublishedItem
     position : int
-        Revision up to which the copy is complete; 0 before the first read.
+        Position up to which the copy is complete, see ``positions``; 0 before
+        the first read.
     digest : int
         Equal for all copies with the same keys and revisions.
     """
--- a/shallotbridge/platform/store.py
+++ b/shallotbridge/platform/store.py
@@ -79,7 +79,7 @@
         return follower.ItemSource(
             read_all=functools.partial(self.read_all, prefix=prefix),
             watch=functools.partial(self.watch, prefix=prefix),
-            read_revision=self.read_revision,
+            read_position=self.read_position,
         )
 
     async def read_all(self, may_be_stale=False, prefix=""):
@@ -133,7 +133,7 @@
                 return published_items, position
             after = page.items[-1].key
 
-    async def read_revision(self):
+    async def read_position(self):
         """Return the store's latest position.
 
         Reads the few items under one prefix, because each range response has
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -62,7 +62,7 @@
     watch=None,
     read_all=None,
     read_nodes=None,
-    read_revision=None,
+    read_position=None,
 ):
     """Return a follower and the actions that it logs.
 
@@ -86,7 +86,7 @@
         source=follower.ItemSource(
             read_all=read_all or read_own_copy,
             watch=watch,
-            read_revision=read_revision or read_own_revision,
+            read_position=read_position or read_own_revision,
         ),
         read_nodes=read_nodes or read_no_nodes,
         on_change=lambda: None,
@@ -183,12 +183,12 @@
 
         return read_all
 
-    def read_revision_of(self, number):
-        async def read_revision():
+    def read_position_of(self, number):
+        async def read_position():
             await self._begin_call(number)
             return self.position
 
-        return read_revision
+        return read_position
 
     def watch_of(self, number):
         async def watch(position, seconds):
@@ -212,7 +212,7 @@
             members=members,
             watch=platform.watch_of(number),
             read_all=platform.read_all_of(number),
-            read_revision=platform.read_revision_of(number),
+            read_position=platform.read_position_of(number),
         )[0]
         for number in members
     ]
@@ -588,7 +588,7 @@
             source=follower.ItemSource(
                 read_all=read_all,
                 watch=platform.watch_of(number),
-                read_revision=platform.read_revision_of(number),
+                read_position=platform.read_position_of(number),
             ),
             read_nodes=read_nodes,
             on_change=lambda: mirrored.__setitem__(slice(None), registered()),
@@ -649,7 +649,7 @@
     async def read_all(may_be_stale):
         return [_item("a", 1)], 5
 
-    async def read_revision():
+    async def read_position():
         return 5
 
     async def watch(position, seconds):
@@ -663,7 +663,7 @@
             members=(1, 2),
             watch=watch,
             read_all=read_all,
-            read_revision=read_revision,
+            read_position=read_position,
         )[0]
         for number in (1, 2)
     ]
@@ -909,7 +909,7 @@
     async def read_all(may_be_stale):
         return current()
 
-    async def read_revision():
+    async def read_position():
         return current()[1]
 
     async def watch(position, seconds):
@@ -928,7 +928,7 @@
             members=(1, 2),
             watch=watch,
             read_all=read_all,
-            read_revision=read_revision,
+            read_position=read_position,
         )[0]
         for number in (1, 2)
     ]
@@ -959,7 +959,7 @@
         now = int(trio.current_time())
         return [_item("op/config", 1, b"x" * size)], max(1, now)
 
-    async def read_revision():
+    async def read_position():
         return int(trio.current_time()) + 1
 
     async def watch(position, seconds):
@@ -972,7 +972,7 @@
         members=(1,),
         watch=watch,
         read_all=read_all,
-        read_revision=read_revision,
+        read_position=read_position,
     )
     _make_current(node, [_item("op/config", 1)], 1)
     with trio.move_on_after(120.0):
@@ -981,6 +981,23 @@
     assert expected / 2 <= len(reads) <= expected + 1
 
 
+async def test_a_snapshot_older_than_the_copy_proves_nothing(autojump_clock):
+    """Guards against a copy that is called current by an ignored read.
+
+    The platform's answers go back behind the copy without another era.
+    """
+
+    async def read_all(may_be_stale):
+        await trio.sleep(0.004)
+        return [_item("a", 3)], 3
+
+    node, _ = _follower(1, _Peers(), members=(1,), read_all=read_all)
+    node._mirror.replace([_item("a", 5)], 5)
+    await node._read_snapshot()
+    assert not node.is_current
+    assert node.mirror_state().age == math.inf
+
+
 async def test_a_platform_without_history_is_not_called_in_a_loop(
     autojump_clock,
 ):
