Do not wait for a reader candidate that waits for this node

Callers would see: an older configuration or an upstream that left, for a second or more after the readers failed (CONFIG). The upstream beside one node leaves in the gap of the watches. That node no longer counts itself as a reader candidate and pulls from the first one, which failed and pulls from it, holding the long poll for a second; the second candidate fell back to the first as well. Change: a node whose call failed pulls from another candidate with a short wait, and takes it for no reader unless its copy is known to be complete at a later time.

--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -406,11 +406,30 @@
         )
 
     async def _pull_from_parent(self, address):
+        if self._tree.is_excluded_reader(self._own_address):
+            await self._pull_from_candidate(address)
+            return
         wait = PULL_WAIT_SECONDS if self.is_current else 0.0
         if not await self._try_pull(address, wait):
             if self.parent == address:
                 await trio.sleep(RETRY_DELAY_SECONDS)
 
+    async def _pull_from_candidate(self, address):
+        """Pull from the next reader candidate after a failed call.
+
+        That node may wait for this one: it may not know yet that it is a
+        candidate. It counts as no reader unless its copy is known to be
+        complete at a later time than the own one.
+        """
+        complete_at = self._complete_at
+        if (
+            await self._try_pull(address, RETRY_DELAY_SECONDS)
+            and self._complete_at <= complete_at + RETRY_DELAY_SECONDS
+        ):
+            self._tree.exclude_reader(address)
+        elif self.parent == address:
+            await trio.sleep(RETRY_DELAY_SECONDS)
+
     async def _try_pull(self, address, wait_seconds):
         """Pull from a node and exclude it for a while if that fails.
 
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -290,6 +290,35 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_a_failed_reader_does_not_wait_for_a_node_that_waits_for_it(
+    autojump_clock,
+):
+    """Guards against nodes that wait for each other's changes.
+
+    The readers of a domain fail at the moment at which the upstream beside
+    the third node leaves. That node no longer counts itself as a candidate
+    and pulls from the first, which still counts it and pulls from it.
+    """
+    maximum_apply_seconds = 2.0
+    outage_seconds = 0.5
+    platform = _Platform(change_seconds=10.0)
+    peers, followers = _domain(platform, 3)
+    first, second, third = _ranked(followers)
+    followers[third]._tree._list_peers = lambda: [
+        (f"10.0.0.{number}", "a") for number in (first, second)
+    ]
+    await trio.sleep_until(10.0 + outage_seconds)
+    for number in (first, second):
+        followers[number]._exclude_reader(f"10.0.0.{number}")
+    async with trio.open_nursery() as nursery:
+        for node in followers.values():
+            nursery.start_soon(node._follow)
+        await trio.sleep_until(10.0 + maximum_apply_seconds)
+        for node in followers.values():
+            assert node._mirror.position == 2
+        nursery.cancel_scope.cancel()
+
+
 async def test_few_nodes_call_a_platform_that_is_down(autojump_clock):
     """Guards against calls by whole domains during a platform outage.
 
