Turn away a reader candidate that pulls from the node that pulls from it

Cause: judged by the age of a copy whether a candidate reads. Change: pulls name their sender; a node that pulls from the sender itself and has nothing newer turns it away after 0.2 s, in which it may become the reader. Older builds name no sender.

--- a/shallotbridge/_generated/link.py
+++ b/shallotbridge/_generated/link.py
@@ -227,6 +227,8 @@
     may_read: bool = False
     # 0: upstreams; 1: the configuration and the domains out of service
     topic: int = 0
+    # address of the sender
+    sender: str = ""
 
 
 class PublishedItem(
--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -57,6 +57,9 @@
 # Long-poll timeout of a pull. The parent is chosen again for each pull, which
 # covers a reader that lost the platform without noticing.
 PULL_WAIT_SECONDS = 1.0
+# How long a node may need to learn that its parent, which pulls from it, has
+# lost the platform.
+MUTUAL_PULL_DELAY_SECONDS = 0.2
 # How long a reply may take beyond the long-poll timeout.
 PULL_TIMEOUT_SECONDS = 1.5
 # Minimum interval between two log lines about peers whose copies differ, and
@@ -406,30 +409,11 @@
         )
 
     async def _pull_from_parent(self, address):
-        if self._tree.is_excluded_reader(self._own_address):
-            await self._pull_from_candidate(address)
-            return
         wait = PULL_WAIT_SECONDS if self.is_current else 0.0
         if not await self._try_pull(address, wait):
             if self.parent == address:
                 await trio.sleep(RETRY_DELAY_SECONDS)
 
-    async def _pull_from_candidate(self, address):
-        """Pull from the next reader candidate after a failed call.
-
-        That node may wait for this one: it may not know yet that it is a
-        candidate. It counts as no reader unless its copy is known to be
-        complete at a later time than the own one.
-        """
-        complete_at = self._complete_at
-        if (
-            await self._try_pull(address, RETRY_DELAY_SECONDS)
-            and self._complete_at <= complete_at + RETRY_DELAY_SECONDS
-        ):
-            self._tree.exclude_reader(address)
-        elif self.parent == address:
-            await trio.sleep(RETRY_DELAY_SECONDS)
-
     async def _try_pull(self, address, wait_seconds):
         """Pull from a node and exclude it for a while if that fails.
 
@@ -487,6 +471,7 @@
                     wait_ms=int(wait_seconds * 1000),
                     may_read=self._tree.is_reader_candidate(),
                     topic=self._topic,
+                    sender=self._own_address,
                 )
             )
             if not isinstance(reply, link.Items):
@@ -577,13 +562,16 @@
             return link.Items(
                 call_id=pull.call_id, position=0, is_whole=False, items=()
             )
-        with trio.move_on_after(pull.wait_ms / 1000):
+        is_rejected = await self._is_waiting_for(pull)
+        with trio.move_on_after(0 if is_rejected else pull.wait_ms / 1000):
             while self._mirror.position <= pull.position and not (
                 pull.may_read
                 and self._tree.is_excluded_reader(self._own_address)
             ):
                 await self._pull_wakeup.wait()
-        if pull.may_read and self._tree.is_excluded_reader(self._own_address):
+        if is_rejected or (
+            pull.may_read and self._tree.is_excluded_reader(self._own_address)
+        ):
             return link.Items(
                 call_id=pull.call_id,
                 position=0,
@@ -604,6 +592,21 @@
             age_ms=state.age * 1000,
         )
 
+    async def _is_waiting_for(self, pull):
+        """Return whether this node pulls from a reader candidate that pulls.
+
+        Neither would read the platform. This node may just be about to
+        become the reader, so it is asked again after a moment.
+        """
+        if (
+            not pull.may_read
+            or pull.position < self._mirror.position
+            or self.parent != pull.sender
+        ):
+            return False
+        await trio.sleep(MUTUAL_PULL_DELAY_SECONDS)
+        return self.parent == pull.sender
+
     async def wait_until_current(self):
         """Wait until the mirror has been up to date at least once."""
         await self._became_current.wait()
--- a/shallotbridge/distribution/tree.py
+++ b/shallotbridge/distribution/tree.py
@@ -66,12 +66,7 @@
                 for address in candidates
                 if not self.is_excluded_reader(address)
             ),
-            # If the platform rejects all candidates, each of them retries.
-            (
-                self._own_address
-                if self._own_address in candidates
-                else ranked[0]
-            ),
+            ranked[0],
         )
         if reader == self._own_address:
             return None
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -319,6 +319,24 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_a_node_whose_calls_fail_pulls_from_the_reader(autojump_clock):
+    """Guards against a rejected node that calls the platform all the time.
+
+    The platform rejects the first candidate alone, and nothing changes. The
+    second one reads.
+    """
+    platform = _Platform(change_seconds=1000.0)
+    _, followers = _domain(platform, 4)
+    first, second, *_ = _ranked(followers)
+    platform.rejected.add(first)
+    with trio.move_on_after(10.0):
+        async with trio.open_nursery() as nursery:
+            for node in followers.values():
+                nursery.start_soon(node._follow)
+    assert set(platform.calls) == {first, second}
+    assert platform.calls[first] <= 10.0 / tree.EXCLUSION_SECONDS + 1
+
+
 async def test_few_nodes_call_a_platform_that_is_down(autojump_clock):
     """Guards against calls by whole domains during a platform outage.
 
