Use a listed upstream again when its time as departed is over

Callers would see: a running upstream out of use after a restore of the store until something else changes (found by reading). Measured: test_an_upstream_that_left_does_not_return_with_a_restored_store fails before with the new assertion and passes.

--- a/shallotbridge/distribution/views.py
+++ b/shallotbridge/distribution/views.py
@@ -98,7 +98,8 @@
         -------
         float or None
             When to update again even if nothing is published, because
-            retained upstreams are dropped then.
+            retained upstreams are dropped then, or what a restored store
+            lists counts again.
         """
         configuration = self.view.configuration
         self._upstream_restore.update(position, now)
@@ -106,12 +107,15 @@
         upstreams_by_id = {}
         domains_out = set()
         restored_domains = set()
+        has_ignored = False
         for key in self._decoded_by_key.keys() - items_by_key.keys():
             del self._decoded_by_key[key]
         for item in items_by_key.values():
             content = self._decode_cached(item)
             if isinstance(content, model.Upstream):
-                if not self._has_left(content, item.revision, now):
+                if self._has_left(content, item.revision, now):
+                    has_ignored = True
+                else:
                     upstreams_by_id[content.upstream_id] = content
             elif isinstance(content, str):
                 domains_out.add(content)
@@ -136,6 +140,11 @@
             next_update_at = min(
                 operators_write_until, next_update_at or math.inf
             )
+        if has_ignored:
+            next_update_at = min(
+                self._upstream_restore.began_at + DEPARTED_ENTRY_SECONDS,
+                next_update_at or math.inf,
+            )
         upstreams_by_id = {
             upstream_id: self._mark_leaving(upstream)
             for upstream_id, upstream in upstreams_by_id.items()
--- a/tests/distribution/test_views.py
+++ b/tests/distribution/test_views.py
@@ -217,6 +217,10 @@
         ignored = [action for action, _ in lines].count("upstream_ignored")
         assert ignored == (not is_used)
         listed_at = 10.0 + views.DEPARTED_ENTRY_SECONDS
+        again_at = _update_at(
+            builder, RESTORED, _entries(2, a=b"1", b=value), 13.0
+        )
+        assert again_at == (None if is_used else listed_at)
         _update_at(builder, RESTORED, _entries(2, a=b"1", b=value), listed_at)
         assert "u2" in builder.view.upstreams_by_id
 
