--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -438,9 +438,7 @@
                 done, _ = await asyncio.wait({closed}, timeout=seconds)
                 end = "dropped" if done else "done"
                 self.ends.append((self._record.now(), request_id))
-                self._record.add(
-                    f"{end:7s}{self.upstream_id} {request_id}"
-                )
+                self._record.add(f"{end:7s}{self.upstream_id} {request_id}")
                 if done:
                     return None
             finally:
@@ -504,7 +502,9 @@
 max_value_bytes = 1048576
 min_ttl = "1000ms"
 [terms]
-contracts = ["base","drain","config","cost","retry","recover","places","platform"]
+contracts = [
+  "base", "drain", "config", "cost", "retry", "recover", "places", "platform",
+]
 [terms.fault_tolerance]
 machines = 2
 zones = 1
@@ -595,9 +595,7 @@
 
     async def start(self):
         """Start the stand-ins and the nodes, and wait until all are ready."""
-        await self._serve(
-            self.store.handle, f"{self.prefix}.0.1", STORE_PORT
-        )
+        await self._serve(self.store.handle, f"{self.prefix}.0.1", STORE_PORT)
         for machine in self.machines:
             await machine.upstream.start()
             await self._serve(
@@ -902,6 +900,12 @@
         print("not built: target/deps is missing")
         sys.exit(EXIT_NOT_RUN)
 
+    def stop(number, frame):
+        raise SystemExit(EXIT_NOT_RUN)
+
+    # Stopped from outside, the case still ends its processes.
+    signal.signal(signal.SIGTERM, stop)
+
     async def run():
         fleet = Fleet(record=record, layout=layout, **options)
         try:
