Give up a watch when the store stops responding to probes

Cause: requests reached upstreams up to 2.4 s after the store had acknowledged that they drain (bound 2 s), and were handled as an older configuration allows, while the readers of all domains were cut from the store. A watch hid the cut until its long poll (2 s) and its response timeout (1.2 s) had passed, and it may begin a batch window (0.5 s) after the cut. Change: while calls of a node to the store wait, a small read that may be stale (a tenth of a call) is sent after 0.15 of the apply time without a response, for both topics together. Without a response within 0.25 of it, all waiting calls of the node fail. A reader that lost the store turns pulls away until the store has responded to it again, and probes the store before it reads again. An outage counts from the last response. The price in calls is not measured yet.

--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -116,6 +116,8 @@
         nodes with a registered upstream, including this one.
     link_to : callable
         ``link_to(address)`` returns the ``PeerLink`` to a node.
+    monitor : platform_monitor.PlatformMonitor
+        Of this node's calls to the platform.
     topic : int
         ``UPSTREAMS`` or ``CONFIGURATION``.
     gossip : callable
@@ -146,6 +148,7 @@
         own_domain,
         list_peers,
         link_to,
+        monitor,
         maximum_apply_seconds,
         report_interval_seconds,
         random,
@@ -167,6 +170,7 @@
             list_peers=list_peers,
         )
         self._link_to = link_to
+        self._monitor = monitor
         self._send_gossip = gossip
         self._batch_window_seconds = maximum_apply_seconds * BATCH_WINDOW_RATIO
         self._watch_seconds = min(WATCH_TIMEOUT_SECONDS, maximum_apply_seconds)
@@ -304,10 +308,18 @@
         return False
 
     async def _read_snapshot(self, may_be_stale=False):
+        if not self._is_platform_available:
+            # Cheaper than a read while the platform is down.
+            await self._monitor.check()
         self.platform_call_count += 1
         began_at = trio.current_time()
         previous = self._mirror.position
-        items, position = await self._read_all(may_be_stale)
+        if may_be_stale:
+            items, position = await self._read_all(may_be_stale)
+        else:
+            items, position = await self._monitor.call(
+                self._read_all, may_be_stale
+            )
         self._on_platform_available()
         is_applied = self._mirror.replace(items, position)
         if not may_be_stale:
@@ -358,7 +370,9 @@
         self.platform_call_count += 1
         began_at = trio.current_time()
         previous = self._mirror.position
-        items, position = await self._watch(previous, self._watch_seconds)
+        items, position = await self._monitor.call(
+            self._watch, previous, self._watch_seconds
+        )
         self._on_platform_available()
         if not items:
             await self._confirm_silence()
@@ -386,7 +400,7 @@
         """
         self.platform_call_count += 1
         began_at = trio.current_time()
-        latest = await self._read_position()
+        latest = await self._monitor.call(self._read_position)
         if latest == self._mirror.position:
             self._complete_at = began_at
         elif began_at >= self._confirmation_due_at or (
@@ -565,13 +579,10 @@
         is_rejected = await self._is_waiting_for(pull)
         with trio.move_on_after(0 if is_rejected else pull.wait_ms / 1000):
             while self._mirror.position <= pull.position and not (
-                pull.may_read
-                and self._tree.is_excluded_reader(self._own_address)
+                pull.may_read and self._has_lost_platform()
             ):
                 await self._pull_wakeup.wait()
-        if is_rejected or (
-            pull.may_read and self._tree.is_excluded_reader(self._own_address)
-        ):
+        if is_rejected or (pull.may_read and self._has_lost_platform()):
             return link.Items(
                 call_id=pull.call_id,
                 position=0,
@@ -592,6 +603,16 @@
             age_ms=state.age * 1000,
         )
 
+    def _has_lost_platform(self):
+        """Return whether this node is a reader without the platform.
+
+        After its exclusion it has to read the platform before other nodes
+        rely on it again.
+        """
+        return self._tree.is_excluded_reader(self._own_address) or (
+            not self._is_platform_available and self.is_reader()
+        )
+
     async def _is_waiting_for(self, pull):
         """Return whether this node pulls from a reader candidate that pulls.
 
@@ -685,12 +706,17 @@
         ----------
         error : errors.PlatformUnavailableError
         began_at : float
-            When the failed call began. The outage counts from then if the
-            platform sent nothing during the call.
+            When the failed call began. If the platform sent nothing during
+            the call, the outage counts from then or from its last response,
+            whichever is later.
         """
         if self._outage_began_at is None:
             now = trio.current_time()
-            self._outage_began_at = began_at if error.is_unanswered else now
+            self._outage_began_at = (
+                max(began_at, self._monitor.heard_at)
+                if error.is_unanswered
+                else now
+            )
         if self._is_platform_available:
             self._is_platform_available = False
             self._record(
--- a/shallotbridge/platform/store.py
+++ b/shallotbridge/platform/store.py
@@ -152,6 +152,24 @@
         )
         return positions.make_position(page.era, page.at)
 
+    async def probe(self):
+        """Make a small call that shows whether the store responds.
+
+        The response may be some seconds old, so the call costs a tenth of a
+        current read and does not count towards the store's rate limit.
+
+        Raises
+        ------
+        errors.PlatformUnavailableError
+        """
+        await self._get(
+            "/v1/kv-range",
+            {"stale_ok": "1"},
+            _RangeResponse,
+            RESPONSE_TIMEOUT_SECONDS,
+            items.OUT_OF_SERVICE_PREFIX,
+        )
+
     async def read_nodes(self):
         """Return the addresses at which some upstreams are registered.
 
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -12,6 +12,7 @@
 from ..core import supervision
 from ..distribution import follower
 from ..distribution import mirror
+from ..distribution import platform_monitor
 from ..distribution import positions
 from ..distribution import views
 from ..peers import domain_outage
@@ -103,6 +104,8 @@
     upstream_source, configuration_source : follower.ItemSource
     read_nodes : callable
         See ``follower.Follower``.
+    probe_platform : callable
+        See ``platform_monitor.PlatformMonitor``.
     decode_item : callable
         See ``views.ViewBuilder``.
     random : random.Random
@@ -121,6 +124,7 @@
         upstream_source,
         configuration_source,
         read_nodes,
+        probe_platform,
         decode_item,
         random,
         metrics,
@@ -149,8 +153,13 @@
         self._view_builder = views.ViewBuilder(
             decode=decode_item, mark_leaving=self._departures.mark
         )
+        self._platform_monitor = platform_monitor.PlatformMonitor(
+            probe=probe_platform,
+            maximum_apply_seconds=settings.maximum_apply_seconds,
+        )
         make_follower = functools.partial(
             follower.Follower,
+            monitor=self._platform_monitor,
             on_change=self._update_view,
             own_address=own_host.upstream_address,
             own_domain=own_host.failure_domain,
@@ -593,6 +602,7 @@
                 await nursery.start(self._serve_clients)
                 await nursery.start(self._owner.run_tasks)
                 for task in (
+                    self._platform_monitor.run,
                     self._entry.run_tasks,
                     self._probe_unreachable_nodes,
                 ):
@@ -723,6 +733,9 @@
         )
         gauge("view_age_seconds", lambda: upstreams.mirror_state().age)
         gauge("platform_calls_total", self._count_platform_calls)
+        gauge(
+            "platform_probes_total", lambda: self._platform_monitor.probe_count
+        )
         gauge(
             "platform_available", lambda: int(upstreams.is_platform_available)
         )
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -12,6 +12,7 @@
 from shallotbridge.core import errors
 from shallotbridge.distribution import follower
 from shallotbridge.distribution import mirror
+from shallotbridge.distribution import platform_monitor
 from shallotbridge.distribution import tree
 from shallotbridge.distribution import views
 
@@ -54,6 +55,17 @@
         self._peers.on_ping(self._address)
 
 
+def _monitor():
+    """Return the monitor of a platform that responds to probes."""
+
+    async def respond():
+        pass
+
+    return platform_monitor.PlatformMonitor(
+        probe=respond, maximum_apply_seconds=2.0
+    )
+
+
 def _follower(
     number,
     peers,
@@ -96,6 +108,7 @@
             (f"10.0.0.{peer_number}", "a") for peer_number in members
         ],
         link_to=peers,
+        monitor=_monitor(),
         maximum_apply_seconds=2.0,
         report_interval_seconds=1.5,
         random=random.Random(number),
@@ -643,6 +656,7 @@
             own_domain=domain_of(number),
             list_peers=lambda: list(mirrored),
             link_to=peers,
+            monitor=_monitor(),
             maximum_apply_seconds=3.0,
             report_interval_seconds=1.5,
             random=random.Random(number),
--- a/tests/runtime/loopback.py
+++ b/tests/runtime/loopback.py
@@ -35,6 +35,43 @@
 UNSPLIT_REQUEST = {"path": "/hold/1", "method": "POST"}
 
 
+class _Gate:
+    """A network path that can be cut silently."""
+
+    def __init__(self):
+        self._is_open = trio.Event()
+        self._is_open.set()
+
+    def close(self):
+        self._is_open = trio.Event()
+
+    def open(self):
+        self._is_open.set()
+
+    async def open_stream(self, address, port):
+        await self._is_open.wait()
+        return _GatedStream(await tcp.open_stream(address, port), self)
+
+    async def pass_through(self):
+        await self._is_open.wait()
+
+
+class _GatedStream:
+    """A stream that receives nothing while its gate is closed."""
+
+    def __init__(self, stream, gate):
+        self._stream = stream
+        self._gate = gate
+
+    def __getattr__(self, name):
+        return getattr(self._stream, name)
+
+    async def receive_some(self, max_bytes=65536):
+        received = await self._stream.receive_some(max_bytes)
+        await self._gate.pass_through()
+        return received
+
+
 class LoopbackMesh:
     """A store and some nodes with their upstreams, one address per host.
 
@@ -52,6 +89,7 @@
         self.store = store_standin.StoreState()
         self.nodes = []
         self.upstreams = []
+        self._store_gates = {}
 
     def address(self, number):
         return f"127.0.{self.subnet}.{number}"
@@ -109,12 +147,13 @@
 
     def make_node(self, number, domain):
         address = self.address(number)
+        store_gate = _Gate()
         client = store_client.StoreClient(
-            open_stream=tcp.open_stream,
+            open_stream=store_gate.open_stream,
             address=self.address(200),
             port=STORE_PORT,
         )
-        return node_module.Node(
+        node = node_module.Node(
             settings=node_module.NodeSettings(
                 own_host=model.OwnHost(
                     name=f"node-{number}",
@@ -143,10 +182,23 @@
             upstream_source=client.source(items.UPSTREAM_PREFIX),
             configuration_source=client.source(items.OPERATOR_PREFIX),
             read_nodes=client.read_nodes,
+            probe_platform=client.probe,
             decode_item=items.decode_item,
             random=random.Random(number),
             metrics=metrics.Metrics(),
         )
+        self._store_gates[node] = store_gate
+        return node
+
+    def readers(self):
+        """Return the nodes that watch the upstreams in the store."""
+        return [
+            node for node in self.nodes if node._upstream_follower.is_reader()
+        ]
+
+    def cut_store(self, node):
+        """Let no response of the store reach a node, silently."""
+        self._store_gates[node].close()
 
     async def send_request(
         self, number, request_id, *, path="/browse/1", method="GET"
--- /dev/null
+++ b/tests/runtime/test_lost_readers.py
@@ -0,0 +1,102 @@
+"""Tests of complete nodes whose readers are lost while changes come."""
+
+import pytest
+import trio
+
+from tests.platform import test_items
+from tests.runtime import loopback
+
+MAXIMUM_APPLY_SECONDS = 2.0
+DOMAINS = "abc"
+
+
+async def _lose_readers(mesh, lose, publish_first, publish_second, delay):
+    """Lose the readers between two changes; return the other nodes."""
+    with trio.fail_after(8):
+        while len(mesh.readers()) != len(DOMAINS):
+            await trio.sleep(0.02)
+    # The readers begin a watch.
+    await trio.sleep(0.5)
+    readers = mesh.readers()
+    publish_first()
+    await trio.sleep(delay)
+    for node in readers:
+        lose(mesh, node)
+    publish_second()
+    return [node for node in mesh.nodes if node not in readers]
+
+
+async def _wait_in_time(condition):
+    with trio.fail_after(MAXIMUM_APPLY_SECONDS):
+        while not condition():
+            await trio.sleep(0.02)
+
+
+LOSSES = {
+    "cut": loopback.LoopbackMesh.cut_store,
+}
+
+
+@pytest.mark.parametrize("delay_seconds", [0.1, 0.3, 0.6])
+@pytest.mark.parametrize("how", LOSSES)
+async def test_a_draining_upstream_is_known_in_time_without_the_readers(
+    how, delay_seconds
+):
+    """Guards against requests to an upstream that is about to exit (DRAIN).
+
+    Two upstreams drain in turn, and the reader of each failure domain is lost
+    between their reports, which may be while it batches (review case 1).
+    """
+
+    def publish(number):
+        domain = DOMAINS[number % len(DOMAINS)]
+        mesh.store.put(
+            f"servers/i-{number}",
+            mesh.make_entry(number, domain, state="draining"),
+        )
+
+    async with loopback.start_mesh(9, domains=DOMAINS) as mesh:
+        others = await _lose_readers(
+            mesh,
+            LOSSES[how],
+            lambda: publish(8),
+            lambda: publish(9),
+            delay_seconds,
+        )
+        await _wait_in_time(
+            lambda: all(
+                node.read_view().upstreams_by_id["i-9"].is_draining
+                for node in others
+            )
+        )
+
+
+@pytest.mark.parametrize("delay_seconds", [0.1, 0.2, 0.3])
+@pytest.mark.parametrize("how", LOSSES)
+async def test_a_configuration_is_active_in_time_without_the_readers(
+    how, delay_seconds
+):
+    """Guards against requests handled as an older version allows (CONFIG).
+
+    Two configurations come in quick succession, and the reader of each
+    failure domain is lost between them (review case 3).
+    """
+
+    def publish(version):
+        mesh.store.put(
+            "op/config", dict(test_items.CONFIGURATION, version=version)
+        )
+
+    async with loopback.start_mesh(9, domains=DOMAINS) as mesh:
+        others = await _lose_readers(
+            mesh,
+            LOSSES[how],
+            lambda: publish(9),
+            lambda: publish(11),
+            delay_seconds,
+        )
+        await _wait_in_time(
+            lambda: all(
+                node.read_view().configuration.version == 11 for node in others
+            )
+        )
