Give up a pull from a node that does not answer pings

A pull of the configuration was given up 1.2 s after an unanswered ping, and pings on its connection began up to 1 s after the last byte and were checked each 0.5 s. This is not the cause of the cut: a frozen node answers nothing, a cut node answers its children as before. A second frozen node would have cost the same time again. Change: a follower gives up the pulls from a node that has answered no ping for 0.2 of the apply time, on either connection. The connection of large items is checked each 0.2 s; each received byte counts as a sign of life, so that a large item in transfer is no silence. A new parent is pinged before it is used.

--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -3,6 +3,7 @@
 A reader watches the platform; the other nodes pull from their peers.
 """
 
+import collections
 import dataclasses
 import functools
 import math
@@ -60,8 +61,12 @@
 # How long a node may need to learn that its parent, which pulls from it, has
 # lost the platform.
 MUTUAL_PULL_DELAY_SECONDS = 0.2
-# How long a reply may take beyond the long-poll timeout.
+# How long a reply may take beyond the long-poll timeout. A node that is silent
+# all the while is given up earlier.
 PULL_TIMEOUT_SECONDS = 1.5
+# Fraction of the maximum apply time after which a pull from a node that does
+# not answer pings is given up.
+PEER_SILENCE_RATIO = 0.2
 # Minimum interval between two log lines about peers whose copies differ, and
 # between two attempts to repair the own copy.
 DIFFERENCE_LOG_INTERVAL_SECONDS = 1.0
@@ -118,6 +123,9 @@
         ``link_to(address)`` returns the ``PeerLink`` to a node.
     monitor : platform_monitor.PlatformMonitor
         Of this node's calls to the platform.
+    responds : callable
+        ``await responds(address)`` pings a node and returns whether it
+        answers.
     topic : int
         ``UPSTREAMS`` or ``CONFIGURATION``.
     gossip : callable
@@ -149,6 +157,7 @@
         list_peers,
         link_to,
         monitor,
+        responds,
         maximum_apply_seconds,
         report_interval_seconds,
         random,
@@ -171,6 +180,10 @@
         )
         self._link_to = link_to
         self._monitor = monitor
+        self._responds = responds
+        # The node that answered the last pull from a parent.
+        self._last_parent = None
+        self._pull_scopes_by_address = collections.defaultdict(set)
         self._send_gossip = gossip
         self._batch_window_seconds = maximum_apply_seconds * BATCH_WINDOW_RATIO
         self._watch_seconds = min(WATCH_TIMEOUT_SECONDS, maximum_apply_seconds)
@@ -431,14 +444,25 @@
     async def _try_pull(self, address, wait_seconds):
         """Pull from a node and exclude it for a while if that fails.
 
+        A new parent is pinged first: a frozen one would accept the
+        connection.
+
         Returns
         -------
         bool
             Whether the pull succeeded.
         """
         try:
+            if address != self._last_parent and not await self._responds(
+                address
+            ):
+                raise errors.OutcomeUnknownError(
+                    f"the node at {address} does not respond"
+                )
             await self.pull(address, wait_seconds)
+            self._last_parent = address
         except _PULL_ERRORS as error:
+            self._last_parent = None
             if isinstance(error, errors.PlatformUnavailableError):
                 self._exclude_reader(address)
             else:
@@ -477,17 +501,24 @@
         """
         peer = self._link_to(address)
         position = 0 if self._needs_whole_copy else self._mirror.position
-        with trio.move_on_after(wait_seconds + PULL_TIMEOUT_SECONDS):
-            reply = await peer.exchange(
-                link.Pull(
-                    call_id=peer.next_call_id(),
-                    position=position,
-                    wait_ms=int(wait_seconds * 1000),
-                    may_read=self._tree.is_reader_candidate(),
-                    topic=self._topic,
-                    sender=self._own_address,
+        scopes = self._pull_scopes_by_address[address]
+        with trio.move_on_after(wait_seconds + PULL_TIMEOUT_SECONDS) as scope:
+            scopes.add(scope)
+            try:
+                reply = await peer.exchange(
+                    link.Pull(
+                        call_id=peer.next_call_id(),
+                        position=position,
+                        wait_ms=int(wait_seconds * 1000),
+                        may_read=self._tree.is_reader_candidate(),
+                        topic=self._topic,
+                        sender=self._own_address,
+                    )
                 )
-            )
+            finally:
+                scopes.discard(scope)
+                if not scopes:
+                    self._pull_scopes_by_address.pop(address, None)
             if not isinstance(reply, link.Items):
                 raise errors.OutcomeUnknownError(
                     f"the node at {address} replied to a pull with the "
@@ -499,6 +530,11 @@
             f"the node at {address} did not reply to a pull in time"
         )
 
+    def on_peer_silent(self, address):
+        """Give up the pulls from a node that does not answer pings."""
+        for scope in self._pull_scopes_by_address.get(address, ()):
+            scope.cancel()
+
     def _apply_reply(self, reply, address):
         if reply.is_turned_away:
             raise errors.PlatformUnavailableError(
--- a/shallotbridge/peers/frames.py
+++ b/shallotbridge/peers/frames.py
@@ -42,10 +42,19 @@
 
 
 class FrameReader:
-    """Reads the messages of one connection."""
+    """Reads the messages of one connection.
+
+    Parameters
+    ----------
+    stream : trio.abc.ReceiveStream
+    on_received : callable
+        Called without arguments after each receipt of bytes, which may be a
+        part of a message only.
+    """
 
-    def __init__(self, *, stream):
+    def __init__(self, *, stream, on_received=lambda: None):
         self._stream = stream
+        self._on_received = on_received
         self._buffer = bytearray()
         self.bytes_received = 0
 
@@ -76,6 +85,7 @@
             if not received:
                 return None
             self.bytes_received += len(received)
+            self._on_received()
             buffer += received
 
 
--- a/shallotbridge/peers/links.py
+++ b/shallotbridge/peers/links.py
@@ -1,6 +1,7 @@
 """Client connections of a node to the other nodes."""
 
 import itertools
+import math
 
 import eliot
 import trio
@@ -16,11 +17,15 @@
 # The same for a connection that only transfers large items. A long poll is in
 # flight on it most of the time, and frequent pings would cost more than the
 # poll.
-BULK_KEEPALIVE_SECONDS = 0.5
+BULK_KEEPALIVE_SECONDS = 0.2
 # A peer that does not answer a ping within this time is suspected and gets no
 # new requests. The latency between nodes is some ms. A lost packet, which is
 # retransmitted after about 0.2 s, diverts requests only briefly.
 SUSPICION_TIMEOUT_SECONDS = 0.15
+# A peer that sent something within this time responds, without a ping.
+RECENTLY_HEARD_SECONDS = 0.1
+# Interval of the checks whether a ping was answered.
+PING_CHECK_SECONDS = 0.1
 # A connection is closed if the peer sends nothing for this long after a ping.
 # TCP retransmits a lost packet within about 0.2 to 0.4 s.
 PEER_TIMEOUT_SECONDS = 1.2
@@ -35,6 +40,19 @@
 CONNECT_TIMEOUT_REASON = "no connection in time"
 
 
+def silence_detection_seconds(keepalive_seconds, silence_seconds):
+    """Return the longest time from a peer's last byte to ``on_silent``.
+
+    A ping is sent at the second check after that byte at the latest.
+
+    Examples
+    --------
+    >>> round(silence_detection_seconds(0.1, 0.4), 3)
+    0.7
+    """
+    return 2 * keepalive_seconds + silence_seconds + PING_CHECK_SECONDS
+
+
 class _PendingCall:
     __slots__ = ("reply", "completed", "error")
 
@@ -69,6 +87,10 @@
     on_reachability_changed : callable
         ``on_reachability_changed(address, is_reachable, reason)`` is called
         when the peer becomes reachable or unreachable.
+    on_silent : callable
+        ``on_silent(address)`` is called when the peer, with requests in
+        flight, has sent nothing for ``silence_seconds`` after a ping.
+    silence_seconds : float
     keepalive_seconds : float
         Interval of liveness checks, and the time without received bytes after
         which a peer with requests in flight is pinged.
@@ -86,6 +108,8 @@
         on_load_report,
         on_reachability_changed,
         on_crash_records=lambda link, pong: None,
+        on_silent=lambda address: None,
+        silence_seconds=PEER_TIMEOUT_SECONDS,
         keepalive_seconds=KEEPALIVE_SECONDS,
     ):
         self.address = address
@@ -97,6 +121,8 @@
         self._on_load_report = on_load_report
         self._on_reachability_changed = on_reachability_changed
         self._on_crash_records = on_crash_records
+        self._on_silent = on_silent
+        self._silence_seconds = silence_seconds
         self._keepalive_seconds = keepalive_seconds
         self._call_ids = itertools.count(1)
         self._calls_by_id = {}
@@ -109,6 +135,9 @@
         # Whether this node closes the connection because it is idle.
         self._is_closing_idle = False
         self._last_received_at = 0.0
+        # Unlike the time above, not set by a new connection.
+        self._heard_at = -math.inf
+        self._heard = trio.Event()
         self._last_used_at = 0.0
 
     @property
@@ -120,6 +149,25 @@
         """Return whether the peer has sent anything after a time."""
         return self._stream is not None and self._last_received_at > time
 
+    async def responds(self):
+        """Ping the peer; return whether it answers.
+
+        Sends no ping if the peer has sent something in the last moments.
+        """
+        started_at = trio.current_time()
+        if self._heard_at > started_at - RECENTLY_HEARD_SECONDS:
+            return True
+        try:
+            await self.connect()
+        except errors.UpstreamUnreachableError:
+            return False
+        self.ping()
+        with trio.move_on_after(SUSPICION_TIMEOUT_SECONDS):
+            while self._heard_at < started_at:
+                await self._heard.wait()
+            return True
+        return False
+
     @property
     def pending_count(self):
         """Number of requests that wait for the peer's reply."""
@@ -257,12 +305,13 @@
                 self._on_reachability_changed(self.address, False, reason)
 
     async def _receive(self, stream):
-        reader = frames.FrameReader(stream=stream)
+        reader = frames.FrameReader(
+            stream=stream, on_received=self._on_bytes_received
+        )
         while True:
             message = await reader.read()
             if message is None:
                 return
-            self._last_received_at = trio.current_time()
             load = getattr(message, "load", None)
             if load is not None:
                 self._on_load_report(self.address, load)
@@ -274,10 +323,16 @@
                 call.reply = message
                 call.completed.set()
 
+    def _on_bytes_received(self):
+        self._heard_at = self._last_received_at = trio.current_time()
+        self._heard.set()
+        self._heard = trio.Event()
+
     async def _monitor_liveness(self, writer, scope):
         """Ping during calls; close an unresponsive or idle connection."""
         pinged_at = None
         stalled_seconds = 0.0
+        is_silent = False
         self._is_suspected = False
         while True:
             if pinged_at is None and not self._calls_by_id:
@@ -285,7 +340,11 @@
                     self._is_closing_idle = True
                     scope.cancel()
                     return
-            due = trio.current_time() + self._keepalive_seconds
+            due = trio.current_time() + (
+                self._keepalive_seconds
+                if pinged_at is None
+                else PING_CHECK_SECONDS
+            )
             await trio.sleep_until(due)
             now = trio.current_time()
             # While this process had no CPU time it could not receive, so the
@@ -293,6 +352,7 @@
             stalled_seconds += now - due
             if pinged_at is not None and self._last_received_at >= pinged_at:
                 pinged_at = None
+                is_silent = False
                 if self._is_suspected:
                     self._is_suspected = False
                     self._on_reachability_changed(
@@ -316,6 +376,12 @@
                 )
                 scope.cancel()
                 return
+            elif (
+                now - pinged_at - stalled_seconds > self._silence_seconds
+                and not is_silent
+            ):
+                is_silent = True
+                self._on_silent(self.address)
             elif (
                 now - pinged_at - stalled_seconds > SUSPICION_TIMEOUT_SECONDS
                 and not self._is_suspected
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -160,6 +160,7 @@
         make_follower = functools.partial(
             follower.Follower,
             monitor=self._platform_monitor,
+            responds=self._peer_responds,
             on_change=self._update_view,
             own_address=own_host.upstream_address,
             own_domain=own_host.failure_domain,
@@ -315,6 +316,11 @@
                 read_mirror_states=self._read_mirror_states,
                 on_position=self._on_position,
                 on_load_report=self._on_load_report,
+                on_silent=self._on_peer_silent,
+                silence_seconds=(
+                    self._settings.maximum_apply_seconds
+                    * follower.PEER_SILENCE_RATIO
+                ),
                 **options,
             )
             links_by_address[address] = found
@@ -322,6 +328,14 @@
 
     # Distribution.
 
+    async def _peer_responds(self, address):
+        """Return whether a node responds on its main link."""
+        return await self._get_link(address).responds()
+
+    def _on_peer_silent(self, address):
+        self._upstream_follower.on_peer_silent(address)
+        self._configuration_follower.on_peer_silent(address)
+
     async def _read_registered_nodes(self, read_nodes):
         """Return some of the registered nodes; count the platform call."""
         self._node_read_count += 1
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -55,6 +55,10 @@
         self._peers.on_ping(self._address)
 
 
+async def _always_responds(address):
+    return True
+
+
 def _monitor():
     """Return the monitor of a platform that responds to probes."""
 
@@ -109,6 +113,7 @@
         ],
         link_to=peers,
         monitor=_monitor(),
+        responds=_always_responds,
         maximum_apply_seconds=2.0,
         report_interval_seconds=1.5,
         random=random.Random(number),
@@ -409,6 +414,27 @@
     assert len(watches) <= 12
 
 
+async def test_a_pull_from_a_silent_node_is_given_up(autojump_clock):
+    """Guards against a change that waits behind a frozen reader (CONFIG)."""
+    platform = _Platform(change_seconds=1000.0)
+    peers, followers = _domain(platform, 4)
+    first, second, third, _ = _ranked(followers)
+    frozen = f"10.0.0.{first}"
+
+    async def never_answer(pull):
+        await trio.sleep_forever()
+
+    followers[first].answer_pull = never_answer
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(followers[third]._follow)
+        await trio.sleep(0.1)
+        assert followers[third].parent == frozen
+        followers[third].on_peer_silent(frozen)
+        await trio.sleep(0.01)
+        assert followers[third].parent == f"10.0.0.{second}"
+        nursery.cancel_scope.cancel()
+
+
 async def test_a_stale_first_read_is_not_current(autojump_clock):
     """Guards against an old configuration after a restart.
 
@@ -657,6 +683,7 @@
             list_peers=lambda: list(mirrored),
             link_to=peers,
             monitor=_monitor(),
+            responds=_always_responds,
             maximum_apply_seconds=3.0,
             report_interval_seconds=1.5,
             random=random.Random(number),
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -15,6 +15,7 @@
 MIRROR_STATES = mirror.MirrorStates(
     upstreams=MIRROR_STATE, configuration=MIRROR_STATE
 )
+SILENCE_SECONDS = 0.4
 LOAD = link.Load(slots=1, free=1, wait_ms=0.0, is_open=True, position=5)
 
 
@@ -57,6 +58,7 @@
         self.keepalive_seconds = keepalive_seconds
         self.states = []
         self.positions = []
+        self.silent_at = []
 
     async def start(self, nursery):
         async def answer_pull(pull):
@@ -89,6 +91,8 @@
             on_reachability_changed=lambda _, is_up, why: self.states.append(
                 is_up
             ),
+            on_silent=lambda _: self.silent_at.append(trio.current_time()),
+            silence_seconds=SILENCE_SECONDS,
             keepalive_seconds=self.keepalive_seconds,
         )
 
@@ -194,6 +198,100 @@
     assert peer.states[:2] == [True, False]
 
 
+def _pull(peer):
+    return link.Pull(
+        call_id=peer.link.next_call_id(), position=9, wait_ms=1000
+    )
+
+
+@pytest.mark.parametrize(
+    "keepalive_seconds",
+    [links.KEEPALIVE_SECONDS, links.BULK_KEEPALIVE_SECONDS],
+)
+async def test_silence_is_reported_in_time(nursery, keepalive_seconds):
+    """Guards against a pull that waits for a frozen node (CONFIG).
+
+    A node that was frozen kept its children waiting for up to 2.5 s.
+    """
+    peer = _Peer(None, keepalive_seconds)
+    await peer.start(nursery)
+
+    async def never_reply(stream):
+        await trio.sleep_forever()
+
+    peer.link._port = (
+        await nursery.start(tcp.serve, "127.0.0.1", 0, never_reply)
+    )[1]
+    started_at = trio.current_time()
+    with pytest.raises(errors.OutcomeUnknownError):
+        await peer.link.exchange(_pull(peer))
+    assert len(peer.silent_at) == 1
+    assert peer.silent_at[0] - started_at <= (
+        links.silence_detection_seconds(keepalive_seconds, SILENCE_SECONDS)
+        + 0.05
+    )
+
+
+async def test_a_large_item_in_transfer_is_no_silence(nursery):
+    """Guards against a parent that is given up while it sends a large item.
+
+    A configuration of 2,300 routes takes a second on a link of 5 Mbit/s, and
+    the answers to pings wait behind it.
+    """
+    peer = _Peer(None, links.BULK_KEEPALIVE_SECONDS)
+    await peer.start(nursery)
+    chunks = 15
+
+    async def reply_slowly(stream):
+        reader = frames.FrameReader(stream=stream)
+        pull = await reader.read()
+        value = b"x" * 60000
+        frame = frames.encode_frame(
+            link.Items(
+                call_id=pull.call_id,
+                position=10,
+                is_whole=True,
+                items=(link.PublishedItem(key="a", revision=1, value=value),),
+            )
+        )
+        size = -(-len(frame) // chunks)
+        for start in range(0, len(frame), size):
+            await stream.send_all(frame[start : start + size])
+            await trio.sleep(0.1)
+        await trio.sleep_forever()
+
+    peer.link._port = (
+        await nursery.start(tcp.serve, "127.0.0.1", 0, reply_slowly)
+    )[1]
+    reply = await peer.link.exchange(_pull(peer))
+    assert reply.position == 10
+    assert peer.silent_at == []
+
+
+async def test_a_frozen_peer_is_noticed_before_it_is_used(nursery):
+    """Guards against a wait for a node that accepts connections only."""
+    peer = _Peer(None)
+    await peer.start(nursery)
+    is_frozen = True
+
+    async def reply_once_thawed(stream):
+        reader = frames.FrameReader(stream=stream)
+        while await reader.read() is not None:
+            if not is_frozen:
+                await stream.send_all(
+                    frames.encode_frame(link.Pong(load=LOAD))
+                )
+
+    peer.link._port = (
+        await nursery.start(tcp.serve, "127.0.0.1", 0, reply_once_thawed)
+    )[1]
+    started_at = trio.current_time()
+    assert not await peer.link.responds()
+    assert trio.current_time() - started_at < SILENCE_SECONDS
+    is_frozen = False
+    assert await peer.link.responds()
+
+
 class _StepCounter(trio.abc.Instrument):
     def __init__(self):
         self.steps = 0
--- a/tests/runtime/loopback.py
+++ b/tests/runtime/loopback.py
@@ -19,6 +19,7 @@
 from shallotbridge.runtime import metrics
 from shallotbridge.runtime import node as node_module
 from shallotbridge.traffic import model
+from shallotbridge.transports import network
 from shallotbridge.transports import tcp
 from standins import store as store_standin
 
@@ -52,12 +53,21 @@
         await self._is_open.wait()
         return _GatedStream(await tcp.open_stream(address, port), self)
 
+    async def serve(self, address, port, handler, **options):
+        async def handle(stream):
+            await handler(_GatedStream(stream, self))
+
+        await tcp.serve(address, port, handle, **options)
+
+    def is_open(self):
+        return self._is_open.is_set()
+
     async def pass_through(self):
         await self._is_open.wait()
 
 
 class _GatedStream:
-    """A stream that receives nothing while its gate is closed."""
+    """A stream that transfers nothing while its gate is closed."""
 
     def __init__(self, stream, gate):
         self._stream = stream
@@ -71,6 +81,17 @@
         await self._gate.pass_through()
         return received
 
+    async def send_some(self, data):
+        await self._gate.pass_through()
+        return await self._stream.send_some(data)
+
+    async def send_all(self, data):
+        await self._gate.pass_through()
+        await self._stream.send_all(data)
+
+    def send_nowait(self, data):
+        return self._stream.send_nowait(data) if self._gate.is_open() else 0
+
 
 class LoopbackMesh:
     """A store and some nodes with their upstreams, one address per host.
@@ -90,6 +111,7 @@
         self.nodes = []
         self.upstreams = []
         self._store_gates = {}
+        self._peer_gates = {}
 
     def address(self, number):
         return f"127.0.{self.subnet}.{number}"
@@ -148,6 +170,7 @@
     def make_node(self, number, domain):
         address = self.address(number)
         store_gate = _Gate()
+        peer_gate = _Gate()
         client = store_client.StoreClient(
             open_stream=store_gate.open_stream,
             address=self.address(200),
@@ -178,7 +201,9 @@
             ),
             header_names=names.HEADER_NAMES,
             readiness_path=names.READINESS_PATH,
-            network=tcp.tcp_network(),
+            network=network.Network(
+                open_stream=peer_gate.open_stream, serve=peer_gate.serve
+            ),
             upstream_source=client.source(items.UPSTREAM_PREFIX),
             configuration_source=client.source(items.OPERATOR_PREFIX),
             read_nodes=client.read_nodes,
@@ -188,6 +213,7 @@
             metrics=metrics.Metrics(),
         )
         self._store_gates[node] = store_gate
+        self._peer_gates[node] = peer_gate
         return node
 
     def readers(self):
@@ -200,6 +226,11 @@
         """Let no response of the store reach a node, silently."""
         self._store_gates[node].close()
 
+    def freeze(self, node):
+        """Let a node neither receive nor send anything, except to clients."""
+        self._store_gates[node].close()
+        self._peer_gates[node].close()
+
     async def send_request(
         self, number, request_id, *, path="/browse/1", method="GET"
     ):
--- a/tests/runtime/test_lost_readers.py
+++ b/tests/runtime/test_lost_readers.py
@@ -34,6 +34,7 @@
 
 LOSSES = {
     "cut": loopback.LoopbackMesh.cut_store,
+    "frozen": loopback.LoopbackMesh.freeze,
 }
 
 
