End watches earlier, so that a dead connection is noticed in time

Cause: connections may fall silent while new ones work. A watch on one was given up 2 s + 1.2 s after it began (2.5 s + 1.2 s and 3 s + 1.2 s on the larger deployments), which is more than the contact window of 3 s (4 s) after which hosts count as in touch again. Probes use other connections. The price in calls is not measured yet.

--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -26,9 +26,11 @@
 # behind it.
 UPSTREAMS = 0
 CONFIGURATION = 1
-# Maximum long-poll timeout of a watch at the platform. A lost response is
+# Maximum long-poll timeout of a watch at the platform, and its fraction of the
+# maximum apply time. A connection that fell silent while new ones work is
 # detected only after this time; a shorter one costs more calls.
 WATCH_TIMEOUT_SECONDS = 4.0
+WATCH_TIMEOUT_RATIO = 0.6
 # Maximum rate, averaged over the time since the last one, of full reads that
 # only confirm that a watch missed nothing.
 CONFIRMATION_BYTES_PER_SECOND = 32_000
@@ -186,7 +188,9 @@
         self._pull_scopes_by_address = collections.defaultdict(set)
         self._send_gossip = gossip
         self._batch_window_seconds = maximum_apply_seconds * BATCH_WINDOW_RATIO
-        self._watch_seconds = min(WATCH_TIMEOUT_SECONDS, maximum_apply_seconds)
+        self._watch_seconds = min(
+            WATCH_TIMEOUT_SECONDS, maximum_apply_seconds * WATCH_TIMEOUT_RATIO
+        )
         self._minimum_expiry_seconds = (
             report_interval_seconds * MINIMUM_EXPIRY_REPORTS
         )
--- a/shallotbridge/platform/store.py
+++ b/shallotbridge/platform/store.py
@@ -20,7 +20,7 @@
 
 # Timeout of a range read, and of a watch in addition to its wait time. The
 # store usually responds in 4 ms; on slow days in some hundred milliseconds.
-RESPONSE_TIMEOUT_SECONDS = 1.2
+RESPONSE_TIMEOUT_SECONDS = 1.0
 # How often a read of several pages starts again because the store was restored
 # between two pages.
 MAXIMUM_READ_RESTARTS = 3
--- a/tests/runtime/loopback.py
+++ b/tests/runtime/loopback.py
@@ -7,6 +7,7 @@
 import functools
 import itertools
 import random
+import weakref
 
 import trio
 
@@ -42,6 +43,7 @@
     def __init__(self):
         self._is_open = trio.Event()
         self._is_open.set()
+        self._streams = weakref.WeakSet()
 
     def close(self):
         self._is_open = trio.Event()
@@ -51,7 +53,15 @@
 
     async def open_stream(self, address, port):
         await self._is_open.wait()
-        return _GatedStream(await tcp.open_stream(address, port), self)
+        stream = _GatedStream(await tcp.open_stream(address, port), self)
+        self._streams.add(stream)
+        return stream
+
+    def silence_watches(self):
+        """Let the connections with a watch in flight transfer nothing more."""
+        for stream in self._streams:
+            if b"/kv-watch" in stream.last_sent:
+                stream.is_silent = True
 
     async def serve(self, address, port, handler, **options):
         async def handle(stream):
@@ -72,6 +82,8 @@
     def __init__(self, stream, gate):
         self._stream = stream
         self._gate = gate
+        self.last_sent = b""
+        self.is_silent = False
 
     def __getattr__(self, name):
         return getattr(self._stream, name)
@@ -79,10 +91,13 @@
     async def receive_some(self, max_bytes=65536):
         received = await self._stream.receive_some(max_bytes)
         await self._gate.pass_through()
+        if self.is_silent:
+            await trio.sleep_forever()
         return received
 
     async def send_some(self, data):
         await self._gate.pass_through()
+        self.last_sent = bytes(data)
         return await self._stream.send_some(data)
 
     async def send_all(self, data):
@@ -226,6 +241,10 @@
         """Let no response of the store reach a node, silently."""
         self._store_gates[node].close()
 
+    def silence_watches(self, node):
+        """Let a node's watches get no response, while new calls do."""
+        self._store_gates[node].silence_watches()
+
     def freeze(self, node):
         """Let a node neither receive nor send anything, except to clients."""
         self._store_gates[node].close()
--- a/tests/runtime/test_lost_readers.py
+++ b/tests/runtime/test_lost_readers.py
@@ -8,6 +8,8 @@
 
 MAXIMUM_APPLY_SECONDS = 2.0
 DOMAINS = "abc"
+# Nodes whose connections fell silent must be up to date after this time.
+CONTACT_WINDOW_SECONDS = 3.0
 
 
 async def _lose_readers(mesh, lose, publish_first, publish_second, delay):
@@ -26,8 +28,8 @@
     return [node for node in mesh.nodes if node not in readers]
 
 
-async def _wait_in_time(condition):
-    with trio.fail_after(MAXIMUM_APPLY_SECONDS):
+async def _wait_in_time(condition, seconds=MAXIMUM_APPLY_SECONDS):
+    with trio.fail_after(seconds):
         while not condition():
             await trio.sleep(0.02)
 
@@ -101,3 +103,30 @@
                 node.read_view().configuration.version == 11 for node in others
             )
         )
+
+
+async def test_a_change_behind_a_silent_connection_is_active_in_time():
+    """Guards against a change that a watch on a dead connection hides.
+
+    The connections of the readers' watches fall silent while new ones work,
+    and a configuration is published.
+    """
+    async with loopback.start_mesh(9, domains=DOMAINS) as mesh:
+        with trio.fail_after(8):
+            while len(mesh.readers()) != len(DOMAINS):
+                await trio.sleep(0.02)
+        await trio.sleep(1.0)
+        # The watches were in flight for longer than the batch window, so the
+        # next ones begin at once.
+        mesh.store.put("op/config", dict(test_items.CONFIGURATION, version=9))
+        await trio.sleep(0.05)
+        for node in mesh.readers():
+            mesh.silence_watches(node)
+        mesh.store.put("op/config", dict(test_items.CONFIGURATION, version=11))
+        await _wait_in_time(
+            lambda: all(
+                node.read_view().configuration.version == 11
+                for node in mesh.nodes
+            ),
+            CONTACT_WINDOW_SECONDS,
+        )
