Read the store's latest position while watches wait

Cause: the commit before ended watches after 0.6 of the apply time, each followed by a read of the latest position. Change: the probes of a reader, which serve both topics, read the latest position each half of the apply time; the others may be stale, a tenth of a call. A change that a watch has not delivered 1 s after its position was named ends the watch, and the topic is read. So a watch may last 10 s, and a silent connection or a dropped history is noticed earlier than before. A copy that is to be repaired ends the watch too. Stale probes are used to check a store that was lost.

--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -26,13 +26,14 @@
 # behind it.
 UPSTREAMS = 0
 CONFIGURATION = 1
-# Maximum long-poll timeout of a watch at the platform, and its fraction of the
-# maximum apply time. A connection that fell silent while new ones work is
-# detected only after this time; a shorter one costs more calls.
-WATCH_TIMEOUT_SECONDS = 4.0
-WATCH_TIMEOUT_RATIO = 0.6
+# Long-poll timeout of a watch at the platform.
+WATCH_TIMEOUT_SECONDS = 10.0
+# Time in which a watch must deliver a change after the platform has named its
+# position. A configuration of 2,300 routes takes a second on a link of 5
+# Mbit/s.
+DELIVERY_TIMEOUT_SECONDS = 1.0
 # Maximum rate, averaged over the time since the last one, of full reads that
-# only confirm that a watch missed nothing.
+# only confirm that a watch has missed nothing.
 CONFIRMATION_BYTES_PER_SECOND = 32_000
 # Fraction of the maximum apply time for which a reader batches changes into
 # one call; the rest is left for propagation to the other nodes.
@@ -94,14 +95,10 @@
         position and the position they lead to, after a long poll of at most
         that many seconds; raises ``HistoryLostError``. An empty result does
         not prove that there was no change.
-    read_position : callable
-        ``await read_position()`` returns the platform's latest position, of
-        any topic.
     """
 
     read_all: typing.Callable
     watch: typing.Callable
-    read_position: typing.Callable
 
 
 class Follower:
@@ -172,7 +169,6 @@
         self._read_all = source.read_all
         self._read_nodes = read_nodes
         self._watch = source.watch
-        self._read_position = source.read_position
         self._on_change = on_change
         self._own_address = own_address
         self._tree = tree.DistributionTree(
@@ -188,9 +184,6 @@
         self._pull_scopes_by_address = collections.defaultdict(set)
         self._send_gossip = gossip
         self._batch_window_seconds = maximum_apply_seconds * BATCH_WINDOW_RATIO
-        self._watch_seconds = min(
-            WATCH_TIMEOUT_SECONDS, maximum_apply_seconds * WATCH_TIMEOUT_RATIO
-        )
         self._minimum_expiry_seconds = (
             report_interval_seconds * MINIMUM_EXPIRY_REPORTS
         )
@@ -207,6 +200,11 @@
         # shows that the mirror is complete.
         self._is_confirmed = False
         self._confirmation_due_at = -math.inf
+        self._watch_scope = trio.CancelScope()
+        # A position beyond this copy that the platform has named, and when
+        # the change must have been delivered.
+        self._expected_position = 0
+        self._delivery_due_at = math.inf
         self._history_lost_at = -math.inf
         self._difference_log_due_at = -math.inf
         self._repair_due_at = -math.inf
@@ -387,12 +385,15 @@
         self.platform_call_count += 1
         began_at = trio.current_time()
         previous = self._mirror.position
-        items, position = await self._monitor.call(
-            self._watch, previous, self._watch_seconds
-        )
+        items = ()
+        with trio.CancelScope() as self._watch_scope:
+            items, position = await self._monitor.call(
+                self._watch, previous, WATCH_TIMEOUT_SECONDS
+            )
+        if self._watch_scope.cancelled_caught:
+            return
         self._on_platform_available()
         if not items:
-            await self._confirm_silence()
             return
         self._complete_at = trio.current_time()
         self._record(
@@ -407,24 +408,48 @@
         self._notify()
         await trio.sleep(self._batch_delay(began_at))
 
-    async def _confirm_silence(self):
-        """Check that a watch without changes has missed none.
+    def on_platform_position(self, position, read_at):
+        """Check that a watch has missed no change.
+
+        A platform that dropped its history, or a connection that fell silent,
+        may leave a watch unanswered. If the platform's latest position is
+        that of this copy, the copy is complete. Otherwise the latest change
+        may be of the other topic, or is just being delivered. If it is not in
+        time, a full read tells; large topics are read less often.
 
-        A platform that dropped its history may leave a watch unanswered. If
-        its latest position is that of this copy, the copy is complete.
-        Otherwise the latest change may be of the other topic, and a full read
-        tells; large topics are read less often.
+        Parameters
+        ----------
+        position : int
+            The platform's latest position, of any topic.
+        read_at : float
+            Time before it was read.
         """
-        self.platform_call_count += 1
-        began_at = trio.current_time()
-        latest = await self._monitor.call(self._read_position)
-        if latest == self._mirror.position:
-            self._complete_at = began_at
-        elif began_at >= self._confirmation_due_at or (
-            positions.get_era(latest)
-            != positions.get_era(self._mirror.position)
+        if self._mirror.position >= self._expected_position:
+            self._expected_position = 0
+        if position == self._mirror.position:
+            self._complete_at = max(self._complete_at, read_at)
+        elif positions.get_era(position) != positions.get_era(
+            self._mirror.position
         ):
-            self._is_confirmed = False
+            self._read_again(position)
+        elif not self._expected_position:
+            self._expected_position = position
+            self._delivery_due_at = read_at + DELIVERY_TIMEOUT_SECONDS
+        elif read_at >= max(self._delivery_due_at, self._confirmation_due_at):
+            self._read_again(position)
+
+    def _read_again(self, position):
+        """End the watch, if one waits, and read the topic."""
+        if self._is_confirmed:
+            self._record(
+                "watch_doubted",
+                topic=self._topic,
+                position=positions.describe(self._mirror.position),
+                latest=positions.describe(position),
+            )
+        self._expected_position = 0
+        self._is_confirmed = False
+        self._watch_scope.cancel()
 
     def _batch_delay(self, began_at):
         """Return how long to batch changes after a watch response, seconds.
@@ -595,6 +620,7 @@
                 self._repair_due_at = now + REPAIR_INTERVAL_SECONDS
                 self._is_confirmed = False
                 self._needs_whole_copy = True
+                self._watch_scope.cancel()
             if now >= self._difference_log_due_at:
                 self._difference_log_due_at = (
                     now + DIFFERENCE_LOG_INTERVAL_SECONDS
--- a/shallotbridge/distribution/platform_monitor.py
+++ b/shallotbridge/distribution/platform_monitor.py
@@ -1,7 +1,8 @@
-"""Detects that the platform has stopped responding to this node.
+"""Shows whether the platform responds to this node, and what is its latest.
 
 A long poll tells nothing until it ends. While one waits, small reads show
-whether the platform still responds.
+whether the platform still responds, and its latest position shows whether the
+long poll has missed a change.
 """
 
 import math
@@ -11,11 +12,14 @@
 from ..core import errors
 
 # Fractions of the maximum apply time: the longest time without a response
-# before the platform is probed, and the time within which it must respond.
+# before the platform is probed, the time within which it must respond, and
+# the interval at which a probe reads the latest position. The others may be
+# stale and cost a tenth.
 PROBE_INTERVAL_RATIO = 0.15
 PROBE_TIMEOUT_RATIO = 0.25
+POSITION_INTERVAL_RATIO = 0.5
 # Delay before the next attempt of a probe that failed at once.
-PROBE_RETRY_SECONDS = 0.1
+PROBE_RETRY_SECONDS = 0.2
 # The timeout of a probe is counted in this many parts, of which each counts
 # in full at most, so that a stall of this process is not taken for silence.
 _TIMEOUT_PARTS = 5
@@ -26,9 +30,12 @@
 
     Parameters
     ----------
-    probe : callable
-        ``await probe()`` makes a cheap call that reads little; raises
-        ``errors.PlatformUnavailableError``.
+    read_position : callable
+        ``await read_position(may_be_stale)`` returns the platform's latest
+        position, of any topic; raises ``errors.PlatformUnavailableError``.
+    on_position : callable
+        ``on_position(position, read_at)`` is called with each position that
+        is not stale, and the time before it was read.
     maximum_apply_seconds : float
         Longest time until a published change must be active.
 
@@ -37,13 +44,20 @@
     heard_at : float
         Time of the last response, on trio's clock.
     probe_count : int
-        Number of probes sent.
+        Number of probes sent that may be stale.
+    call_count : int
+        Number of other calls, which read the latest position.
     """
 
-    def __init__(self, *, probe, maximum_apply_seconds):
-        self._probe = probe
+    def __init__(self, *, read_position, on_position, maximum_apply_seconds):
+        self._read_position = read_position
+        self._on_position = on_position
         self._interval_seconds = maximum_apply_seconds * PROBE_INTERVAL_RATIO
         self._timeout_seconds = maximum_apply_seconds * PROBE_TIMEOUT_RATIO
+        self._position_interval_seconds = (
+            maximum_apply_seconds * POSITION_INTERVAL_RATIO
+        )
+        self._position_due_at = -math.inf
         self._failed_at = -math.inf
         self._failure = ""
         self._lock = trio.Lock()
@@ -51,6 +65,7 @@
         self._call_started = trio.Event()
         self.heard_at = -math.inf
         self.probe_count = 0
+        self.call_count = 0
 
     async def run(self):
         """Probe the platform while calls wait, until cancelled."""
@@ -58,8 +73,16 @@
             if not self._scopes:
                 self._call_started = trio.Event()
                 await self._call_started.wait()
-            await trio.sleep_until(self.heard_at + self._interval_seconds)
-            if self._scopes and not await self._responds():
+            # A position is due while calls wait, also if responses come.
+            await trio.sleep_until(
+                min(
+                    self.heard_at + self._interval_seconds,
+                    self._position_due_at,
+                )
+            )
+            if self._scopes and not await self._responds(
+                may_be_stale=trio.current_time() < self._position_due_at
+            ):
                 for scope in self._scopes:
                     scope.cancel()
                 self._scopes.clear()
@@ -103,21 +126,26 @@
         is_recent = (
             trio.current_time() - self.heard_at < self._interval_seconds
         )
-        if not is_recent and not await self._responds():
+        if not is_recent and not await self._responds(may_be_stale=True):
             raise self._make_error()
 
-    async def _responds(self):
+    async def _responds(self, may_be_stale):
         """Return whether the platform responds; tasks share one probe."""
         began_at = trio.current_time()
         async with self._lock:
-            if max(self.heard_at, self._failed_at) < began_at:
-                await self._send_probe()
+            if (
+                max(self.heard_at, self._failed_at) < began_at
+                or not may_be_stale
+            ):
+                await self._send_probe(may_be_stale)
             return self.heard_at > self._failed_at
 
-    async def _send_probe(self):
+    async def _send_probe(self, may_be_stale):
         responded = trio.Event()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._probe_until_response, responded)
+            nursery.start_soon(
+                self._probe_until_response, may_be_stale, responded
+            )
             for _ in range(_TIMEOUT_PARTS):
                 with trio.move_on_after(
                     self._timeout_seconds / _TIMEOUT_PARTS
@@ -128,17 +156,27 @@
         if not responded.is_set():
             self._failed_at = trio.current_time()
 
-    async def _probe_until_response(self, responded):
+    async def _probe_until_response(self, may_be_stale, responded):
         self._failure = "no response to a probe"
         while True:
-            self.probe_count += 1
+            began_at = trio.current_time()
+            if may_be_stale:
+                self.probe_count += 1
+            else:
+                self.call_count += 1
             try:
-                await self._probe()
+                position = await self._read_position(may_be_stale)
             except errors.PlatformUnavailableError as error:
                 self._failure = error.detail
+                may_be_stale = True
                 await trio.sleep(PROBE_RETRY_SECONDS)
             else:
                 self.heard_at = trio.current_time()
+                if not may_be_stale:
+                    self._position_due_at = (
+                        began_at + self._position_interval_seconds
+                    )
+                    self._on_position(position, began_at)
                 responded.set()
                 return
 
--- a/shallotbridge/platform/program.py
+++ b/shallotbridge/platform/program.py
@@ -91,7 +91,7 @@
         upstream_source=store_client.source(items.UPSTREAM_PREFIX),
         configuration_source=store_client.source(items.OPERATOR_PREFIX),
         read_nodes=store_client.read_nodes,
-        probe_platform=store_client.probe,
+        read_position=store_client.read_position,
         decode_item=items.decode_item,
         random=random.Random(),
         metrics=metrics_module.Metrics(),
--- a/shallotbridge/platform/store.py
+++ b/shallotbridge/platform/store.py
@@ -79,7 +79,6 @@
         return follower.ItemSource(
             read_all=functools.partial(self.read_all, prefix=prefix),
             watch=functools.partial(self.watch, prefix=prefix),
-            read_position=self.read_position,
         )
 
     async def read_all(self, may_be_stale=False, prefix=""):
@@ -133,43 +132,32 @@
                 return published_items, position
             after = page.items[-1].key
 
-    async def read_position(self):
+    async def read_position(self, may_be_stale=False):
         """Return the store's latest position.
 
         Reads the few items under one prefix, because each range response has
         the revision.
 
+        Parameters
+        ----------
+        may_be_stale : bool
+            Whether the position may be some seconds old. Such a read costs a
+            tenth of a current one and does not count towards the store's
+            rate limit.
+
         Raises
         ------
         errors.PlatformUnavailableError
         """
         page = await self._get(
             "/v1/kv-range",
-            {},
+            {"stale_ok": "1" if may_be_stale else ""},
             _RangeResponse,
             RESPONSE_TIMEOUT_SECONDS,
             items.OUT_OF_SERVICE_PREFIX,
         )
         return positions.make_position(page.era, page.at)
 
-    async def probe(self):
-        """Make a small call that shows whether the store responds.
-
-        The response may be some seconds old, so the call costs a tenth of a
-        current read and does not count towards the store's rate limit.
-
-        Raises
-        ------
-        errors.PlatformUnavailableError
-        """
-        await self._get(
-            "/v1/kv-range",
-            {"stale_ok": "1"},
-            _RangeResponse,
-            RESPONSE_TIMEOUT_SECONDS,
-            items.OUT_OF_SERVICE_PREFIX,
-        )
-
     async def read_nodes(self):
         """Return the addresses at which some upstreams are registered.
 
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -104,7 +104,7 @@
     upstream_source, configuration_source : follower.ItemSource
     read_nodes : callable
         See ``follower.Follower``.
-    probe_platform : callable
+    read_position : callable
         See ``platform_monitor.PlatformMonitor``.
     decode_item : callable
         See ``views.ViewBuilder``.
@@ -124,7 +124,7 @@
         upstream_source,
         configuration_source,
         read_nodes,
-        probe_platform,
+        read_position,
         decode_item,
         random,
         metrics,
@@ -154,7 +154,8 @@
             decode=decode_item, mark_leaving=self._departures.mark
         )
         self._platform_monitor = platform_monitor.PlatformMonitor(
-            probe=probe_platform,
+            read_position=read_position,
+            on_position=self._on_platform_position,
             maximum_apply_seconds=settings.maximum_apply_seconds,
         )
         make_follower = functools.partial(
@@ -369,6 +370,10 @@
             message.configuration_digest,
         )
 
+    def _on_platform_position(self, position, read_at):
+        self._upstream_follower.on_platform_position(position, read_at)
+        self._configuration_follower.on_platform_position(position, read_at)
+
     async def _answer_pull(self, pull):
         if pull.topic == follower.CONFIGURATION:
             return await self._configuration_follower.answer_pull(pull)
@@ -778,6 +783,7 @@
     def _count_platform_calls(self):
         return (
             self._node_read_count
+            + self._platform_monitor.call_count
             + self._upstream_follower.platform_call_count
             + self._configuration_follower.platform_call_count
         )
