Bound the memory of the answers that a node is reading

Cause: a faulty upstream that answers without end took a node's memory, although each answer ends at 8 MiB: nothing bounds their sum. Exceptions kept the pieces of ended answers for longer. Pieces are dropped when an answer ends. Metrics for the bytes held, their peak and the refusals.

--- a/shallotbridge/core/errors.py
+++ b/shallotbridge/core/errors.py
@@ -380,6 +380,12 @@
     code = "SB-3021"
 
 
+class AnswerMemoryError(AnswerTooLargeError):
+    """The response is large and there is no memory to read it."""
+
+    code = "SB-3023"
+
+
 class RequestTimeoutError(FramingError):
     """The request was not received completely within the timeout."""
 
--- a/shallotbridge/core/http1.py
+++ b/shallotbridge/core/http1.py
@@ -12,6 +12,7 @@
 import httptools
 import trio
 
+from . import byte_budget
 from . import errors
 from . import http1_encoding
 from . import model
@@ -37,6 +38,9 @@
 # Interim responses (1xx) accepted before the final response.
 _MAXIMUM_INTERIM_RESPONSES = 8
 
+# Memory of a chunk besides its bytes.
+_CHUNK_OBJECT_BYTES = 48
+
 _HEAD_END = b"\r\n\r\n"
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Bare LF, bare CR, obsolete line folding, and control characters.
@@ -90,8 +94,11 @@
         stream,
         maximum_body_bytes,
         maximum_head_bytes=MAXIMUM_HEAD_BYTES,
+        budget=None,
     ):
         self._stream = stream
+        self._budget = budget
+        self._held_bytes = 0
         self._maximum_body_bytes = maximum_body_bytes
         self._maximum_head_bytes = maximum_head_bytes
         self._buffer = b""
@@ -114,6 +121,19 @@
             "or body"
         )
 
+    def _hold(self, size):
+        """Count the bytes of the message so far towards the budget."""
+        if self._budget is None or size <= byte_budget.SMALL_MESSAGE_BYTES:
+            return
+        if not self._budget.try_resize(self._held_bytes, size):
+            raise self._no_memory(size)
+        self._held_bytes = size
+
+    def _release(self):
+        if self._held_bytes:
+            self._budget.release(self._held_bytes)
+            self._held_bytes = 0
+
     async def _read_head(self):
         """Return the bytes of a head, including its final empty line.
 
@@ -200,13 +220,20 @@
         if len(self._buffer) < length:
             pieces = [self._buffer]
             missing = length - len(self._buffer)
-            while missing > 0:
-                received = await self._receive()
-                if not received:
-                    raise self._truncated(f"{missing} bytes before its end")
-                pieces.append(received)
-                missing -= len(received)
-            self._buffer = b"".join(pieces)
+            try:
+                while missing > 0:
+                    received = await self._receive()
+                    if not received:
+                        raise self._truncated(
+                            f"{missing} bytes before its end"
+                        )
+                    pieces.append(received)
+                    missing -= len(received)
+                    self._hold(length - missing)
+                self._buffer = b"".join(pieces)
+            finally:
+                # An exception keeps its frames, and so this list, for longer.
+                pieces.clear()
         body = self._buffer[:length]
         self._buffer = self._buffer[length:]
         return body
@@ -218,6 +245,12 @@
         always ends in CRLF CRLF. Bytes are passed to llhttp only up to each
         CRLF CRLF, so that it never gets bytes of the next message.
         """
+        try:
+            return await self._read_chunks(parser, parsed)
+        finally:
+            parsed.chunks.clear()
+
+    async def _read_chunks(self, parser, parsed):
         size = 0
         wire_size = 0
         counted_chunks = 0
@@ -246,6 +279,11 @@
                 if not received:
                     raise self._truncated("in a chunked body")
                 self._buffer += received
+                self._hold(
+                    wire_size
+                    + len(self._buffer)
+                    + len(parsed.chunks) * _CHUNK_OBJECT_BYTES
+                )
 
     def _is_persistent(self, parsed, version):
         tokens = http1_encoding.connection_tokens(parsed.fields)
@@ -452,6 +490,8 @@
     accepts_extra_bytes : bool
         Whether a complete response is accepted when more bytes follow it;
         the connection is then not persistent.
+    budget : byte_budget.ByteBudget, optional
+        Bounds the sum of the responses that are being read.
 
     Attributes
     ----------
@@ -460,10 +500,17 @@
     """
 
     def __init__(
-        self, *, stream, accepts_unframed=False, accepts_extra_bytes=False
+        self,
+        *,
+        stream,
+        accepts_unframed=False,
+        accepts_extra_bytes=False,
+        budget=None,
     ):
         super().__init__(
-            stream=stream, maximum_body_bytes=MAXIMUM_RESPONSE_BODY_BYTES
+            stream=stream,
+            maximum_body_bytes=MAXIMUM_RESPONSE_BODY_BYTES,
+            budget=budget,
         )
         self._accepts_unframed = accepts_unframed
         self._accepts_extra_bytes = accepts_extra_bytes
@@ -481,9 +528,17 @@
             The response is malformed, or more bytes follow it.
         errors.AnswerTooLargeError
             The response exceeds a size limit.
+        errors.AnswerMemoryError
+            The responses that are being read exceed their memory.
         errors.OutcomeUnknownError
             The connection ended within the response.
         """
+        try:
+            return await self._read(method)
+        finally:
+            self._release()
+
+    async def _read(self, method):
         self.is_persistent = False
         for _ in range(_MAXIMUM_INTERIM_RESPONSES + 1):
             head = await self._read_head()
@@ -536,12 +591,16 @@
         pieces = [self._buffer]
         size = len(self._buffer)
         self._buffer = b""
-        while received := await self._receive():
-            pieces.append(received)
-            size += len(received)
-            if size > self._maximum_body_bytes:
-                raise self._body_too_large(size)
-        return b"".join(pieces)
+        try:
+            while received := await self._receive():
+                pieces.append(received)
+                size += len(received)
+                if size > self._maximum_body_bytes:
+                    raise self._body_too_large(size)
+                self._hold(size)
+            return b"".join(pieces)
+        finally:
+            pieces.clear()
 
     def _malformed(self, detail):
         return errors.AnswerMismatchError(f"response: {detail}")
@@ -556,6 +615,12 @@
             f"the head exceeds {MAXIMUM_HEAD_BYTES} bytes"
         )
 
+    def _no_memory(self, size):
+        return errors.AnswerMemoryError(
+            f"the response has {size} bytes or more, and others are being "
+            "read; their memory does not suffice for all"
+        )
+
     def _body_too_large(self, size):
         return errors.AnswerTooLargeError(
             f"the response has {size} bytes or more; allowed: "
--- a/shallotbridge/platform/settings.py
+++ b/shallotbridge/platform/settings.py
@@ -12,6 +12,8 @@
 DEFAULT_COLD_MULTIPLIER = 1.0
 # Used when the file does not state the interval of upstream reports.
 DEFAULT_REPORT_INTERVAL = "1500ms"
+# Used when the file does not limit the memory of the process.
+DEFAULT_MEMORY_MB = 200.0
 
 
 def load(path):
@@ -91,6 +93,9 @@
         "grace": reader.convert(
             "terms.bounds.grace_period", durations.parse_duration
         ),
+        "memory_mb": reader.get(
+            "self.limits.memory_mb", float, DEFAULT_MEMORY_MB
+        ),
     }
     if port_range is not None and not (
         len(port_range) == 2
@@ -123,6 +128,7 @@
         maximum_apply_seconds=values["apply"],
         report_interval_seconds=values["report"],
         grace_period_seconds=values["grace"],
+        memory_bytes=int(values["memory_mb"] * 1_000_000),
     )
 
 
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from ..core import byte_budget
 from ..core import decisions
 from ..core import errors
 from ..core import model as messages
@@ -45,6 +46,9 @@
 CRASH_NEWS_DELAY_SECONDS = 0.05
 # Minimum interval between two exchanges of whole tables of crash records.
 CRASH_EXCHANGE_INTERVAL_SECONDS = 2.0
+# Part of the host's memory for the answers that are being read from the
+# upstream. They are copied when they are complete.
+ANSWER_MEMORY_RATIO = 0.25
 METRICS_PATH = "/metrics"
 
 
@@ -75,6 +79,8 @@
         Interval between the reports of an upstream to the platform.
     grace_period_seconds : float
         Time between the stop signal and the forced end of the process.
+    memory_bytes : int
+        Memory that the process may use.
     """
 
     own_host: model.OwnHost
@@ -90,6 +96,7 @@
     maximum_apply_seconds: float
     report_interval_seconds: float
     grace_period_seconds: float
+    memory_bytes: int
 
 
 class Node:
@@ -201,7 +208,11 @@
         # Fingerprints of the records to send to the gossip peers.
         self._crash_news = set()
         self._crash_exchange_due_at = -math.inf
+        self._answer_budget = byte_budget.ByteBudget(
+            limit_bytes=int(settings.memory_bytes * ANSWER_MEMORY_RATIO)
+        )
         self._owner = owner.OwnerServer(
+            answer_budget=self._answer_budget,
             own_host=own_host,
             header_names=header_names,
             read_view=self.read_view,
@@ -773,6 +784,12 @@
             "invalid_answer_headers_total",
             lambda: self._owner.invalid_header_count,
         )
+        gauge("answer_bytes", lambda: self._answer_budget.held_bytes)
+        gauge("answer_bytes_peak", lambda: self._answer_budget.peak_bytes)
+        gauge(
+            "answers_without_memory_total",
+            lambda: self._answer_budget.refused_count,
+        )
         gauge("runs_total", lambda: self._owner.run_count)
         gauge("refusals_total", lambda: self._owner.refused_count)
         gauge(
--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -781,6 +781,7 @@
 _FAILURE_ERRORS_BY_CODE = {
     error_type.code: error_type
     for error_type in (
+        errors.AnswerMemoryError,
         errors.AnswerMismatchError,
         errors.AnswerTooLargeError,
         errors.DeadlineAfterSendError,
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -85,6 +85,8 @@
     on_leaving : callable
         ``on_leaving(upstream_id, started_ms, **source)`` is called when an
         answer says that the upstream is leaving.
+    answer_budget : byte_budget.ByteBudget, optional
+        Bounds the sum of the answers that are being read.
     known_crashes : crash_records.CrashRecords, optional
     on_crash_records_changed : callable
         ``on_crash_records_changed(fingerprints)`` is called after this node
@@ -104,6 +106,7 @@
         cold_multiplier,
         cold_slack,
         on_leaving=lambda upstream_id, started_ms, **source: None,
+        answer_budget=None,
         known_crashes=None,
         on_crash_records_changed=lambda fingerprints: None,
         record=decisions.record,
@@ -139,6 +142,7 @@
             port=own_host.upstream_port,
             header_names=header_names,
             on_response=self._on_response,
+            budget=answer_budget,
         )
         self._routine_log = decisions.RateLimitedLog(
             rate=ROUTINE_LINES_PER_SECOND
--- a/shallotbridge/traffic/upstream_client.py
+++ b/shallotbridge/traffic/upstream_client.py
@@ -45,10 +45,13 @@
         "refused_ids",
     )
 
-    def __init__(self, stream):
+    def __init__(self, stream, budget):
         self.stream = stream
         self.reader = http1.ResponseReader(
-            stream=stream, accepts_unframed=True, accepts_extra_bytes=True
+            stream=stream,
+            accepts_unframed=True,
+            accepts_extra_bytes=True,
+            budget=budget,
         )
         self.idle_since = 0.0
         self.idle_timeout_seconds = IDLE_TIMEOUT_SECONDS
@@ -71,16 +74,26 @@
         ``on_response(request, response, sent_at)`` is called with each
         complete response that belongs to its request, also a refusal.
         `sent_at` is a time on trio's clock before the request was sent.
+    budget : byte_budget.ByteBudget, optional
+        Bounds the sum of the responses that are being read.
     """
 
     def __init__(
-        self, *, open_stream, address, port, header_names, on_response=None
+        self,
+        *,
+        open_stream,
+        address,
+        port,
+        header_names,
+        on_response=None,
+        budget=None,
     ):
         self._open_stream = open_stream
         self.address = address
         self.port = port
         self._header_names = header_names
         self._on_response = on_response
+        self._budget = budget
         self._idle = collections.deque()
         self._is_closed = False
         self.connect_count = 0
@@ -113,6 +126,8 @@
             The connection was lost or the response is incomplete.
         errors.AnswerMismatchError
             The response is for another request.
+        errors.AnswerTooLargeError
+            The response exceeds a size limit, or its memory.
         errors.DeadlineAfterSendError
             No response before the deadline.
         """
@@ -275,7 +290,8 @@
         try:
             with trio.move_on_after(CONNECT_TIMEOUT_SECONDS):
                 return _Connection(
-                    await self._open_stream(self.address, self.port)
+                    await self._open_stream(self.address, self.port),
+                    self._budget,
                 )
         except OSError as error:
             raise errors.UpstreamUnreachableError(
--- a/tests/runtime/loopback.py
+++ b/tests/runtime/loopback.py
@@ -213,6 +213,7 @@
                 maximum_apply_seconds=2.0,
                 report_interval_seconds=1.5,
                 grace_period_seconds=6.0,
+                memory_bytes=200_000_000,
             ),
             header_names=names.HEADER_NAMES,
             readiness_path=names.READINESS_PATH,
--- a/tests/traffic/test_upstream_client.py
+++ b/tests/traffic/test_upstream_client.py
@@ -7,12 +7,15 @@
 import itertools
 import socket
 import struct
+import tracemalloc
 
 import pytest
 import trio
 
+from shallotbridge.core import byte_budget
 from shallotbridge.core import errors
 from shallotbridge.core import http1
+from shallotbridge.runtime import node
 from shallotbridge.traffic import upstream_client
 from shallotbridge.transports import tcp
 
@@ -40,7 +43,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _upstream(serve):
+async def _upstream(serve, budget=None):
     """Start an upstream and return a client for it.
 
     The upstream runs ``await serve(stream, number, request_id)`` for each
@@ -71,6 +74,7 @@
             address=ADDRESS,
             port=port,
             header_names=builders.NAMES,
+            budget=budget,
         )
         with trio.fail_after(10):
             yield client
@@ -205,6 +209,99 @@
         assert (await _send_request(client, "next")).body == b"well"
 
 
+SMALLEST_HOST_BYTES = 200_000_000
+# Size of a node without requests, and of all else that it holds.
+OTHER_MEMORY_BYTES = 100_000_000
+
+
+@pytest.mark.parametrize("case", ["chunks", "unframed body"])
+async def test_many_endless_responses_share_their_memory(case):
+    """Guards against a process that ends for lack of memory (LOST).
+
+    Pattern: a faulty upstream sends endless bodies to all its slots at the
+    same time, each below the limit of a single response.
+    """
+    slots = 36
+    budget = byte_budget.ByteBudget(
+        limit_bytes=int(SMALLEST_HOST_BYTES * node.ANSWER_MEMORY_RATIO)
+    )
+    is_well = False
+    # As large as the responses of the users' largest route.
+    well = "w" * 90_000
+    block = REPEATED_BYTES[case] * 64
+
+    async def serve(stream, number, request_id):
+        if is_well:
+            await stream.send_all(_response(request_id, well))
+            return
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(
+                ENDLESS_RESPONSES[case].replace(
+                    b"x-id: r", b"x-id: " + request_id.encode()
+                )
+            )
+            while True:
+                await stream.send_all(block)
+                await trio.sleep(0.02)
+
+    async with _upstream(serve, budget) as client:
+
+        async def send(number):
+            with pytest.raises(errors.CallError) as caught:
+                await _send_request(client, f"r{number}", seconds=10.0)
+            assert caught.value.outcome is errors.Outcome.UNKNOWN
+
+        tracemalloc.start()
+        try:
+            async with trio.open_nursery() as nursery:
+                for number in range(slots):
+                    nursery.start_soon(send, number)
+            peak_bytes = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+        assert peak_bytes < SMALLEST_HOST_BYTES - OTHER_MEMORY_BYTES
+        assert budget.refused_count
+        assert budget.held_bytes == 0
+        is_well = True
+        assert len((await _send_request(client, "next")).body) == len(well)
+
+
+async def test_a_sound_response_finds_memory_beside_endless_ones():
+    """Guards against sound answers that fail because of faulty ones."""
+    budget = byte_budget.ByteBudget(limit_bytes=4_000_000)
+    well = "w" * 200_000
+
+    async def serve(stream, number, request_id):
+        if request_id.startswith("well"):
+            await stream.send_all(_response(request_id, well))
+            return
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(
+                f"HTTP/1.1 200 OK\r\nx-id: {request_id}\r\n\r\n".encode()
+            )
+            while True:
+                await stream.send_all(b"a" * 65536)
+                await trio.sleep(0.005)
+
+    async with _upstream(serve, budget) as client:
+
+        async def send_until_cancelled(number):
+            while True:
+                with contextlib.suppress(errors.CallError):
+                    await _send_request(client, f"r{number}", seconds=5.0)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(8):
+                nursery.start_soon(send_until_cancelled, number)
+            await trio.sleep(0.3)
+            for number in range(50):
+                response = await _send_request(client, f"well{number}")
+                assert len(response.body) == len(well)
+            nursery.cancel_scope.cancel()
+        assert budget.refused_count
+        assert budget.held_bytes == 0
+
+
 @pytest.mark.parametrize("case", ENDLESS_RESPONSES)
 async def test_a_slow_endless_response_ends_at_the_deadline(case):
     """Guards against a slot that a faulty upstream occupies for ever."""
