Bound the delivery of a named change by a deadline of the watch

Cause: a change that a watch had not delivered was looked for only with the next position read, half of the apply time later; the sum exceeded the contact window of the grown deployments. Change: the watch gets a deadline of 0.3 of the apply time after the position was named.

--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -28,10 +28,10 @@
 CONFIGURATION = 1
 # Long-poll timeout of a watch at the platform.
 WATCH_TIMEOUT_SECONDS = 10.0
-# Time in which a watch must deliver a change after the platform has named its
-# position. A configuration of 2,300 routes takes a second on a link of 5
-# Mbit/s.
-DELIVERY_TIMEOUT_SECONDS = 1.0
+# Fraction of the maximum apply time in which a watch must deliver a change
+# after the platform has named its position. A configuration of 2,300 routes
+# takes a second on a link of 5 Mbit/s.
+DELIVERY_TIMEOUT_RATIO = 0.3
 # Maximum rate, averaged over the time since the last one, of full reads that
 # only confirm that a watch has missed nothing.
 CONFIRMATION_BYTES_PER_SECOND = 32_000
@@ -202,9 +202,10 @@
         self._confirmation_due_at = -math.inf
         self._watch_scope = trio.CancelScope()
         # A position beyond this copy that the platform has named, and when
-        # the change must have been delivered.
+        # the watch must have delivered it.
         self._expected_position = 0
         self._delivery_due_at = math.inf
+        self._delivery_seconds = maximum_apply_seconds * DELIVERY_TIMEOUT_RATIO
         self._history_lost_at = -math.inf
         self._difference_log_due_at = -math.inf
         self._repair_due_at = -math.inf
@@ -386,11 +387,13 @@
         began_at = trio.current_time()
         previous = self._mirror.position
         items = ()
-        with trio.CancelScope() as self._watch_scope:
+        self._watch_scope = trio.CancelScope(deadline=self._delivery_due_at)
+        with self._watch_scope:
             items, position = await self._monitor.call(
                 self._watch, previous, WATCH_TIMEOUT_SECONDS
             )
         if self._watch_scope.cancelled_caught:
+            self._doubt_watch()
             return
         self._on_platform_available()
         if not items:
@@ -405,6 +408,8 @@
             bytes=sum(len(item.value or b"") for item in items),
         )
         self._mirror.apply(items, position)
+        if self._mirror.position >= self._expected_position:
+            self._expect_delivery(0, math.inf)
         self._notify()
         await trio.sleep(self._batch_delay(began_at))
 
@@ -425,31 +430,36 @@
             Time before it was read.
         """
         if self._mirror.position >= self._expected_position:
-            self._expected_position = 0
+            self._expect_delivery(0, math.inf)
         if position == self._mirror.position:
             self._complete_at = max(self._complete_at, read_at)
         elif positions.get_era(position) != positions.get_era(
             self._mirror.position
         ):
-            self._read_again(position)
+            self._watch_scope.cancel()
         elif not self._expected_position:
-            self._expected_position = position
-            self._delivery_due_at = read_at + DELIVERY_TIMEOUT_SECONDS
-        elif read_at >= max(self._delivery_due_at, self._confirmation_due_at):
-            self._read_again(position)
-
-    def _read_again(self, position):
-        """End the watch, if one waits, and read the topic."""
-        if self._is_confirmed:
-            self._record(
-                "watch_doubted",
-                topic=self._topic,
-                position=positions.describe(self._mirror.position),
-                latest=positions.describe(position),
+            self._expect_delivery(
+                position,
+                max(
+                    read_at + self._delivery_seconds, self._confirmation_due_at
+                ),
             )
-        self._expected_position = 0
+
+    def _expect_delivery(self, position, due_at):
+        """Let a watch that has not delivered a position by a time end."""
+        self._expected_position = position
+        self._delivery_due_at = self._watch_scope.deadline = due_at
+
+    def _doubt_watch(self):
+        """Let the next step read the topic instead of a watch."""
+        self._record(
+            "watch_doubted",
+            topic=self._topic,
+            position=positions.describe(self._mirror.position),
+            expected=positions.describe(self._expected_position),
+        )
+        self._expect_delivery(0, math.inf)
         self._is_confirmed = False
-        self._watch_scope.cancel()
 
     def _batch_delay(self, began_at):
         """Return how long to batch changes after a watch response, seconds.
