Count the changes of both topics before a watch is doubted

Change: positions rise by one with each change, so a copy is complete if the watches of both topics have delivered all positions up to the latest one. Probes are sent after 0.2 of the apply time. Measured: test_changes_of_the_other_topic_cause_no_reads failed before.

--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -201,6 +201,8 @@
         self._is_confirmed = False
         self._confirmation_due_at = -math.inf
         self._watch_scope = trio.CancelScope()
+        # Up to here the watches of both topics have delivered all changes.
+        self._proved_position = 0
         # A position beyond this copy that the platform has named, and when
         # the watch must have delivered it.
         self._expected_position = 0
@@ -341,6 +343,7 @@
         if not may_be_stale:
             self._needs_whole_copy = False
             self._is_confirmed = True
+            self._expect_delivery(0, math.inf)
             size = sum(len(item.value or b"") for item in items)
             self._confirmation_due_at = (
                 trio.current_time() + size / CONFIRMATION_BYTES_PER_SECOND
@@ -408,6 +411,7 @@
             bytes=sum(len(item.value or b"") for item in items),
         )
         self._mirror.apply(items, position)
+        self._monitor.add_changes(item.revision for item in items)
         if self._mirror.position >= self._expected_position:
             self._expect_delivery(0, math.inf)
         self._notify()
@@ -417,10 +421,12 @@
         """Check that a watch has missed no change.
 
         A platform that dropped its history, or a connection that fell silent,
-        may leave a watch unanswered. If the platform's latest position is
-        that of this copy, the copy is complete. Otherwise the latest change
-        may be of the other topic, or is just being delivered. If it is not in
-        time, a full read tells; large topics are read less often.
+        may leave a watch unanswered. The copy is complete if the watches of
+        this node have delivered all changes up to the platform's latest
+        position, those of the other topic included. Otherwise a change may
+        just be being delivered, or goes to a watch of another node. If it is
+        not delivered in time, a full read tells; large topics are read less
+        often.
 
         Parameters
         ----------
@@ -431,12 +437,15 @@
         """
         if self._mirror.position >= self._expected_position:
             self._expect_delivery(0, math.inf)
-        if position == self._mirror.position:
-            self._complete_at = max(self._complete_at, read_at)
-        elif positions.get_era(position) != positions.get_era(
+        proved = max(self._mirror.position, self._proved_position)
+        if positions.get_era(position) != positions.get_era(
             self._mirror.position
         ):
             self._watch_scope.cancel()
+        elif self._monitor.has_all_changes(proved, position):
+            self._proved_position = max(proved, position)
+            self._complete_at = max(self._complete_at, read_at)
+            self._expect_delivery(0, math.inf)
         elif not self._expected_position:
             self._expect_delivery(
                 position,
--- a/shallotbridge/distribution/platform_monitor.py
+++ b/shallotbridge/distribution/platform_monitor.py
@@ -5,6 +5,7 @@
 long poll has missed a change.
 """
 
+import collections
 import math
 
 import trio
@@ -15,11 +16,13 @@
 # before the platform is probed, the time within which it must respond, and
 # the interval at which a probe reads the latest position. The others may be
 # stale and cost a tenth.
-PROBE_INTERVAL_RATIO = 0.15
+PROBE_INTERVAL_RATIO = 0.2
 PROBE_TIMEOUT_RATIO = 0.25
 POSITION_INTERVAL_RATIO = 0.5
 # Delay before the next attempt of a probe that failed at once.
 PROBE_RETRY_SECONDS = 0.2
+# Positions of the latest changes that are remembered.
+MAXIMUM_CHANGES = 1000
 # The timeout of a probe is counted in this many parts, of which each counts
 # in full at most, so that a stall of this process is not taken for silence.
 _TIMEOUT_PARTS = 5
@@ -35,7 +38,8 @@
         position, of any topic; raises ``errors.PlatformUnavailableError``.
     on_position : callable
         ``on_position(position, read_at)`` is called with each position that
-        is not stale, and the time before it was read.
+        is not stale and the time before it was read, and again when watches
+        have delivered changes since.
     maximum_apply_seconds : float
         Longest time until a published change must be active.
 
@@ -62,6 +66,9 @@
         self._failure = ""
         self._lock = trio.Lock()
         self._scopes = set()
+        # The latest position and the time before it was read.
+        self._latest = None
+        self._change_positions = collections.deque(maxlen=MAXIMUM_CHANGES)
         self._call_started = trio.Event()
         self.heard_at = -math.inf
         self.probe_count = 0
@@ -129,6 +136,28 @@
         if not is_recent and not await self._responds(may_be_stale=True):
             raise self._make_error()
 
+    def add_changes(self, change_positions):
+        """Remember the positions of changes that a watch has delivered."""
+        self._change_positions.extend(change_positions)
+        if self._latest is not None:
+            # The changes may be those that a follower waits for.
+            self._on_position(*self._latest)
+
+    def has_all_changes(self, after, until):
+        """Return whether watches have delivered all changes in a range.
+
+        Each change of any topic has a position of its own, one higher than
+        that before.
+
+        Parameters
+        ----------
+        after, until : int
+            The changes after the first position, up to the second.
+        """
+        return until - after <= MAXIMUM_CHANGES and set(
+            range(after + 1, until + 1)
+        ).issubset(self._change_positions)
+
     async def _responds(self, may_be_stale):
         """Return whether the platform responds; tasks share one probe."""
         began_at = trio.current_time()
@@ -176,6 +205,7 @@
                     self._position_due_at = (
                         began_at + self._position_interval_seconds
                     )
+                    self._latest = (position, began_at)
                     self._on_position(position, began_at)
                 responded.set()
                 return
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -1035,6 +1035,54 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_changes_of_the_other_topic_cause_no_reads(autojump_clock):
+    """Guards against a read of a topic for each change of the other one.
+
+    A read costs as much as a watch. The watch of the other topic, at the same
+    node, delivers a change every 0.7 s.
+    """
+    reads = []
+
+    def latest():
+        return 1 + int(trio.current_time() / 0.7)
+
+    async def read_all(may_be_stale):
+        reads.append(trio.current_time())
+        return [_item("op/config", 1)], latest()
+
+    async def read_position(may_be_stale):
+        return latest()
+
+    async def watch(position, seconds):
+        await trio.sleep(seconds)
+        return [], position
+
+    node, _ = _follower(
+        1,
+        _Peers(),
+        members=(1,),
+        watch=watch,
+        read_all=read_all,
+        read_position=read_position,
+    )
+    _make_current(node, [_item("op/config", 1)], 1)
+
+    async def deliver_other_topic():
+        position = 1
+        while True:
+            if latest() > position:
+                node._monitor.add_changes(range(position + 1, latest() + 1))
+                position = latest()
+            await trio.sleep(0.01)
+
+    with trio.move_on_after(30.0):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(deliver_other_topic)
+            nursery.start_soon(node._follow)
+            nursery.start_soon(node._monitor.run)
+    assert len(reads) <= 2
+
+
 async def test_large_topics_are_read_rarely_to_confirm_a_silent_watch(
     autojump_clock,
 ):
--- a/tests/distribution/test_platform_monitor.py
+++ b/tests/distribution/test_platform_monitor.py
@@ -142,3 +142,20 @@
 
     monkeypatch.setattr(monitor, "_read_position", read_position)
     assert await monitor.call(platform.watch, 1.5) == "changes"
+
+
+def test_only_an_unbroken_series_of_changes_is_complete():
+    """Guards against a missed change behind later ones of another topic."""
+    monitor = platform_monitor.PlatformMonitor(
+        read_position=None, on_position=None, maximum_apply_seconds=2.0
+    )
+    monitor.add_changes([5, 6])
+    monitor.add_changes([8])
+    assert monitor.has_all_changes(4, 4)
+    assert monitor.has_all_changes(4, 6)
+    assert not monitor.has_all_changes(4, 8)
+    assert not monitor.has_all_changes(3, 6)
+    monitor.add_changes([7])
+    assert monitor.has_all_changes(4, 8)
+    # As after a restore, which begins a new era.
+    assert not monitor.has_all_changes(4, 2**40)
