Take the strictest bound of changes as the apply time

Cause: the timers of distribution are fractions of config_apply, and drain_timeout and evacuation were not read; a deployment with a shorter one would break it. None of the deployments has one. Change: the apply time is the smallest of the three. Measured: test_the_strictest_bound_of_changes_counts failed before.

--- a/shallotbridge/platform/settings.py
+++ b/shallotbridge/platform/settings.py
@@ -12,6 +12,9 @@
 DEFAULT_COLD_MULTIPLIER = 1.0
 # Used when the file does not state the interval of upstream reports.
 DEFAULT_REPORT_INTERVAL = "1500ms"
+# Used when the file does not bound how long an upstream that leaves, or a
+# failure domain out of service, may get requests: `config_apply` bounds it.
+DEFAULT_OTHER_BOUND = "60s"
 # Used when the file does not limit the memory of the process.
 DEFAULT_MEMORY_MB = 200.0
 
@@ -85,6 +88,16 @@
         "apply": reader.convert(
             "terms.bounds.config_apply", durations.parse_duration
         ),
+        "drain": reader.convert(
+            "terms.bounds.drain_timeout",
+            durations.parse_duration,
+            DEFAULT_OTHER_BOUND,
+        ),
+        "evacuation": reader.convert(
+            "terms.bounds.evacuation",
+            durations.parse_duration,
+            DEFAULT_OTHER_BOUND,
+        ),
         "report": reader.convert(
             "platform.heartbeat_interval",
             durations.parse_duration,
@@ -125,7 +138,9 @@
         retry_window_seconds=values["retry_window"],
         cold_multiplier=values["cold_multiplier"],
         cold_slack=values["cold_slack"],
-        maximum_apply_seconds=values["apply"],
+        maximum_apply_seconds=min(
+            values["apply"], values["drain"], values["evacuation"]
+        ),
         report_interval_seconds=values["report"],
         grace_period_seconds=values["grace"],
         memory_bytes=int(values["memory_mb"] * 1_000_000),
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -53,6 +53,27 @@
     )
 
 
+@pytest.mark.parametrize(
+    "line, seconds",
+    [
+        ('drain_timeout = "1500ms"', 1.5),
+        ('evacuation = "1s"', 1.0),
+        ('evacuation = "5000ms"', 2.0),
+    ],
+)
+def test_the_strictest_bound_of_changes_counts(line, seconds):
+    """Guards against timers that fit one bound and break another."""
+    parsed = settings.parse(f"{TEXT}\n{line}\n")
+    assert parsed.maximum_apply_seconds == seconds
+
+
+def test_the_memory_of_the_process_is_read():
+    """Guards against limits for a host of another size."""
+    parsed = settings.parse(f"{TEXT}\n[self.limits]\nmemory_mb = 300\n")
+    assert parsed.memory_bytes == 300_000_000
+    assert settings.parse(TEXT).memory_bytes == 200_000_000
+
+
 def test_all_problems_are_reported_at_once():
     """Guards against a report that stops at the first problem.
 
