Soak: lose the readers while changes come in series

Cause: the soak excused all hosts while a fault lasted anywhere, and cut, froze or killed single hosts at random, so it did not see changes that come late because the readers are lost. Change: one more kind loses the reader of each domain (cut, cut one way, frozen, killed) within a series of changes and a drain. It excuses only the lost hosts. Each third seed has no other faults.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -66,14 +66,20 @@
 
 def _find_late_runs(records):
     """Find runs on draining upstreams and in domains out of service."""
+    calls_by_id = {call.request_id: call for call in records.calls}
     for run in records.runs:
+        call = calls_by_id.get(run.request_id)
+        # The host where the request began, and that of the upstream.
+        hosts = {int(run.upstream_id[1:].partition("-")[0])}
+        if call is not None:
+            hosts.add(call.host)
         leaving_at = records.leaving_at_by_id.get(run.upstream_id)
         if (
             leaving_at is not None
             and run.at > leaving_at + DRAIN_LIMIT_SECONDS
         ):
-            if records.has_no_faults(
-                None, leaving_at - RECOVERY_LIMIT_SECONDS, run.at
+            if records.are_in_touch(
+                hosts, leaving_at - RECOVERY_LIMIT_SECONDS, run.at
             ):
                 yield (
                     f"{run.request_id}: ran on {run.upstream_id} "
@@ -85,8 +91,8 @@
                 domain == upstream_domain
                 and began + DOMAIN_OUT_LIMIT_SECONDS < run.at < ended
             ):
-                if records.has_no_faults(
-                    None, began - RECOVERY_LIMIT_SECONDS, run.at
+                if records.are_in_touch(
+                    hosts, began - RECOVERY_LIMIT_SECONDS, run.at
                 ):
                     yield (
                         f"{run.request_id}: ran in {upstream_domain} "
@@ -190,8 +196,10 @@
         else:
             published_at = records.published_at_by_version[probe.version]
             delay = probe.sent_at - published_at
-            if delay > CONFIGURATION_LIMIT_SECONDS and records.has_no_faults(
-                None, published_at - RECOVERY_LIMIT_SECONDS, probe.sent_at
+            if delay > CONFIGURATION_LIMIT_SECONDS and records.are_in_touch(
+                {probe.host},
+                published_at - RECOVERY_LIMIT_SECONDS,
+                probe.sent_at,
             ):
                 yield (
                     f"host {probe.host}: version {probe.version} is not "
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -140,6 +140,7 @@
         self.records = records
         self.clock = clock
         self.version = 0
+        self.are_readers_lost = False
         self._store_address = f"{prefix}.0.1"
         self._process_manager = process_manager
         self.random = self._random = random.Random(seed)
@@ -212,6 +213,15 @@
                 await trio.sleep(_EXIT_POLL_SECONDS)
             await trio.sleep(RESTART_DELAY_SECONDS)
 
+    def find_readers(self):
+        """Return the host of each domain that began a watch last."""
+        hosts_by_domain = {}
+        for host in sorted(
+            self.hosts, key=lambda each: each.store_proxy.watched_at
+        ):
+            hosts_by_domain[host.domain] = host
+        return list(hosts_by_domain.values())
+
     def send_signal(self, host, number):
         """Send a signal to the node process if it is running."""
         if self._process_manager.is_running(host.name):
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -10,7 +10,9 @@
 END_MARGIN_SECONDS = 5.0
 # Mean time between the starts of two entries; entries may overlap.
 MEAN_INTERVAL_SECONDS = 0.9
-DRAIN_SECONDS = 2.0
+# Each seed that is a multiple of this only loses readers while operators act,
+# so that the hosts that are not lost must keep the limits.
+READER_SEED_INTERVAL = 3
 
 # Weight, minimum and maximum duration in seconds of each kind.
 KINDS = {
@@ -23,6 +25,7 @@
     "store_status": (2, 0.5, 3.0),
     "store_history": (1, 0.4, 1.2),
     "store_restore": (2, 0.5, 5.0),
+    "readers_lost": (3, 2.0, 5.0),
     "kill": (2, 0.0, 0.0),
     "pause": (2, 0.3, 3.0),
     "sighup": (1, 0.0, 0.0),
@@ -47,6 +50,16 @@
         "domain_out",
     }
 )
+READER_KINDS = frozenset(
+    {
+        "readers_lost",
+        "sighup",
+        "configuration",
+        "configurations",
+        "drain",
+        "domain_out",
+    }
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -79,6 +92,8 @@
     """
     random_source = random.Random(seed)
     kinds = list(KINDS)
+    if seed % READER_SEED_INTERVAL == 0:
+        kinds = [kind for kind in KINDS if kind in READER_KINDS]
     weights = [KINDS[kind][0] for kind in kinds]
     at = START_MARGIN_SECONDS
     entries = []
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,5 +1,7 @@
 """Loopback proxy that injects faults into the connections it forwards."""
 
+import math
+
 import trio
 
 _CHUNK_BYTES = 65536
@@ -16,6 +18,8 @@
         Delay of each chunk, in both directions.
     is_stalled_to, is_stalled_from : bool
         Whether bytes to, or from, the address are held back.
+    watched_at : float
+        Time of the last watch that passed, on trio's clock.
     """
 
     def __init__(self, *, address, port):
@@ -24,6 +28,7 @@
         self.delay_seconds = 0.0
         self.is_stalled_to = False
         self.is_stalled_from = False
+        self.watched_at = -math.inf
 
     async def handle(self, stream):
         """Serve one connection."""
@@ -49,6 +54,8 @@
                     await trio.sleep(self.delay_seconds)
                 while getattr(self, f"is_stalled_{direction}"):
                     await trio.sleep(_STALL_POLL_SECONDS)
+                if b"/kv-watch" in data:
+                    self.watched_at = trio.current_time()
                 if not data:
                     await sink.send_eof()
                     return
--- a/soak/records.py
+++ b/soak/records.py
@@ -3,6 +3,9 @@
 import dataclasses
 import math
 
+# Kind of the faults that excuse only their own host.
+READER_LOST = "reader_lost"
+
 
 @dataclasses.dataclass(kw_only=True)
 class Call:
@@ -94,3 +97,15 @@
             for _, faulted_host, began, ended in self.faults
             if faulted_host is None or host is None or faulted_host == host
         )
+
+    def are_in_touch(self, hosts, start, end):
+        """Return whether hosts must keep the limits within an interval.
+
+        A lost reader excuses only its own host, any other fault all hosts.
+        """
+        return not any(
+            began <= end
+            and start <= ended
+            and (kind != READER_LOST or faulted_host in hosts)
+            for kind, faulted_host, began, ended in self.faults
+        )
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,6 +18,10 @@
 # Time in which all nodes must be ready.
 START_TIMEOUT_SECONDS = 30.0
 BURST_CHANGES = 6
+# Changes while readers are lost, and the time between them: less than readers
+# batch, so that some are lost while they batch.
+READER_LOSS_CHANGES = 4
+READER_LOSS_GAP_SECONDS = 0.33
 LINK_DELAY_SECONDS = 0.12
 # Time from the end of the watches to the loss of the history.
 COMPACTION_DELAY_SECONDS = 0.2
@@ -109,7 +113,7 @@
         "store_restore",
     )
     await _ACTIONS[entry.kind](fleet, host, entry.seconds)
-    if entry.kind not in plan_module.PLANNED:
+    if entry.kind not in plan_module.PLANNED | {"readers_lost"}:
         fleet.records.faults.append(
             (
                 entry.kind,
@@ -198,6 +202,72 @@
     fleet.resume(host)
 
 
+async def _lose_readers(fleet, host, seconds):
+    """Lose the reader of each domain while changes come in a series."""
+    if fleet.are_readers_lost:
+        return
+    fleet.are_readers_lost = True
+    lose, restore = fleet.random.choice(
+        [
+            (_cut_from_store, _reconnect_to_store),
+            (_cut_from_store_one_way, _reconnect_to_store),
+            (_freeze, _thaw),
+            (_end_process, _wait_restarted),
+        ]
+    )
+    lost_after = fleet.random.randrange(READER_LOSS_CHANGES)
+    readers = fleet.find_readers()
+    leaving = fleet.random.choice(
+        [each for each in fleet.hosts if each not in readers] or readers
+    )
+    async with trio.open_nursery() as nursery:
+        for number in range(READER_LOSS_CHANGES):
+            if number == lost_after:
+                began = fleet.clock()
+                for reader in readers:
+                    lose(fleet, reader)
+                nursery.start_soon(fleet.drain, leaving)
+            else:
+                fleet.publish()
+            await trio.sleep(READER_LOSS_GAP_SECONDS)
+        await trio.sleep(seconds)
+        for reader in readers:
+            await restore(fleet, reader)
+        fleet.records.faults.extend(
+            (records_module.READER_LOST, reader.number, began, fleet.clock())
+            for reader in readers
+        )
+    fleet.are_readers_lost = False
+
+
+def _cut_from_store(fleet, host):
+    host.store_proxy.is_stalled_to = host.store_proxy.is_stalled_from = True
+
+
+def _cut_from_store_one_way(fleet, host):
+    host.store_proxy.is_stalled_from = True
+
+
+async def _reconnect_to_store(fleet, host):
+    host.store_proxy.is_stalled_to = host.store_proxy.is_stalled_from = False
+
+
+def _freeze(fleet, host):
+    fleet.send_signal(host, signal.SIGSTOP)
+
+
+async def _thaw(fleet, host):
+    fleet.resume(host)
+
+
+def _end_process(fleet, host):
+    fleet.send_signal(host, signal.SIGKILL)
+
+
+async def _wait_restarted(fleet, host):
+    await _wait_ready(host)
+
+
 async def _send_sighup(fleet, host, seconds):
     fleet.send_signal(host, signal.SIGHUP)
 
@@ -239,6 +309,7 @@
     "store_history": _compact_history,
     "store_restore": _restore_store,
     "harmful": _send_harmful_requests,
+    "readers_lost": _lose_readers,
     "kill": _kill,
     "pause": _pause,
     "sighup": _send_sighup,
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -57,6 +57,17 @@
     assert checks.find_violations(run_records) == []
 
 
+def test_a_lost_reader_excuses_only_its_own_host():
+    """Guards against a check that excuses the hosts whose reader is lost."""
+    run_records = _records(_call(host=1))
+    run_records.add_run("r1", "u0-0", 20.0)
+    run_records.leaving_at_by_id["u0-0"] = 17.9
+    run_records.faults.append((records.READER_LOST, 3, 18.0, 19.0))
+    assert len(checks.find_violations(run_records)) == 1
+    run_records.faults.append((records.READER_LOST, 1, 18.0, 19.0))
+    assert checks.find_violations(run_records) == []
+
+
 def test_run_in_a_domain_out_of_service_is_a_violation():
     """Guards against a check that misses runs in a domain out of service."""
     run_records = _records(_call())
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,7 +8,8 @@
 REGRESSION_SEEDS = ()
 
 
-@pytest.mark.parametrize("seed", [101, 105, *REGRESSION_SEEDS])
+# The second one loses readers while changes come in series.
+@pytest.mark.parametrize("seed", [101, 102, 105, *REGRESSION_SEEDS])
 def test_guarantees_hold_under_faults(seed):
     """Guards against violations of the guarantees under faults."""
     run_records, violations, _ = run.run_seed(
