--- a/soak/run.py
+++ b/soak/run.py
@@ -1,5 +1,6 @@
 """Runs a plan on real nodes and checks the guarantees."""
 
+import math
 import signal
 import time
 
@@ -220,19 +221,23 @@
     leaving = fleet.random.choice(
         [each for each in fleet.hosts if each not in readers] or readers
     )
-    async with trio.open_nursery() as nursery:
-        for number in range(READER_LOSS_CHANGES):
-            if number == lost_after:
-                began = fleet.clock()
-                for reader in readers:
-                    lose(fleet, reader)
-                nursery.start_soon(fleet.drain, leaving)
-            else:
-                fleet.publish()
-            await trio.sleep(READER_LOSS_GAP_SECONDS)
-        await trio.sleep(seconds)
-        for reader in readers:
-            await restore(fleet, reader)
+    began = math.inf
+    try:
+        async with trio.open_nursery() as nursery:
+            for number in range(READER_LOSS_CHANGES):
+                if number == lost_after:
+                    began = fleet.clock()
+                    for reader in readers:
+                        lose(fleet, reader)
+                    nursery.start_soon(fleet.drain, leaving)
+                else:
+                    fleet.publish()
+                await trio.sleep(READER_LOSS_GAP_SECONDS)
+            await trio.sleep(seconds)
+            for reader in readers:
+                await restore(fleet, reader)
+    finally:
+        # Also at the end of the run, when the readers are still lost.
         fleet.records.faults.extend(
             (records_module.READER_LOST, reader.number, began, fleet.clock())
             for reader in readers
