End the watch of a reader that was replaced

Change: a node that is no longer the reader ends its watch at the next position read. Measured: test_a_replaced_reader_ends_its_watch failed before.

--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -396,7 +396,8 @@
                 self._watch, previous, WATCH_TIMEOUT_SECONDS
             )
         if self._watch_scope.cancelled_caught:
-            self._doubt_watch()
+            if self.is_reader():
+                self._doubt_watch()
             return
         self._on_platform_available()
         if not items:
@@ -435,6 +436,10 @@
         read_at : float
             Time before it was read.
         """
+        if not self.is_reader():
+            # Another node has taken over; a second watch is not needed.
+            self._watch_scope.cancel()
+            return
         if self._mirror.position >= self._expected_position:
             self._expect_delivery(0, math.inf)
         proved = max(self._mirror.position, self._proved_position)
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -1035,6 +1035,31 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_a_replaced_reader_ends_its_watch(autojump_clock):
+    """Guards against two watches of a domain for as long as one lasts.
+
+    The second node reads while the first one is excluded. Nothing changes.
+    """
+    platform = _Platform(change_seconds=1000.0)
+    _, followers = _domain(platform, 2)
+    first, second = _ranked(followers)
+    followers[second]._tree.exclude_reader(f"10.0.0.{first}")
+    async with trio.open_nursery() as nursery:
+        for node in followers.values():
+            nursery.start_soon(node._follow)
+            nursery.start_soon(node._monitor.run)
+        await trio.sleep(
+            tree.EXCLUSION_SECONDS
+            + MAXIMUM_APPLY_SECONDS * platform_monitor.POSITION_INTERVAL_RATIO
+            + 0.5
+        )
+        calls = platform.calls[second]
+        assert calls
+        await trio.sleep(follower.WATCH_TIMEOUT_SECONDS)
+        assert platform.calls[second] == calls
+        nursery.cancel_scope.cancel()
+
+
 async def test_changes_of_the_other_topic_cause_no_reads(autojump_clock):
     """Guards against a read of a topic for each change of the other one.
 
