Keep the watch of a substitute reader until the reader is back

Cause: a substitute left its watch each time that the exclusion of the lost reader ended (2 s), was turned away, and read the topic again. Change: the watch goes on until the other node has answered a pull. Measured: test_a_substitute_reader_goes_on_while_the_reader_is_lost failed before.

--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -201,6 +201,8 @@
         self._is_confirmed = False
         self._confirmation_due_at = -math.inf
         self._watch_scope = trio.CancelScope()
+        # Set while this node watches, but would now pull from another one.
+        self._parent_returned = trio.Event()
         # Up to here the watches of both topics have delivered all changes.
         self._proved_position = 0
         # A position beyond this copy that the platform has named, and when
@@ -219,7 +221,7 @@
 
     async def run(self):
         """Follow the published items until cancelled."""
-        tasks = [self._follow, self._catch_up]
+        tasks = [self._follow, self._catch_up, self._hand_back]
         if self._topic == UPSTREAMS:
             # One gossip task is enough: a ping has the positions of all
             # topics.
@@ -437,8 +439,7 @@
             Time before it was read.
         """
         if not self.is_reader():
-            # Another node has taken over; a second watch is not needed.
-            self._watch_scope.cancel()
+            self._parent_returned.set()
             return
         if self._mirror.position >= self._expected_position:
             self._expect_delivery(0, math.inf)
@@ -754,6 +755,19 @@
             except _PULL_ERRORS as error:
                 self._record_pull_failure(address, error)
 
+    async def _hand_back(self):
+        """End the watch when a reader that was replaced is back.
+
+        The watch goes on until that node has answered a pull: one that is
+        still without the platform is excluded again.
+        """
+        while True:
+            await self._parent_returned.wait()
+            self._parent_returned = trio.Event()
+            parent = self.parent
+            if parent is not None and await self._try_pull(parent, 0.0):
+                self._watch_scope.cancel()
+
     def gossip_peers(self):
         """Return the addresses of the nodes that this one pings."""
         return self._tree.gossip_peers(set())
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -1046,7 +1046,7 @@
     followers[second]._tree.exclude_reader(f"10.0.0.{first}")
     async with trio.open_nursery() as nursery:
         for node in followers.values():
-            nursery.start_soon(node._follow)
+            nursery.start_soon(node.run)
             nursery.start_soon(node._monitor.run)
         await trio.sleep(
             tree.EXCLUSION_SECONDS
@@ -1060,6 +1060,36 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_a_substitute_reader_goes_on_while_the_reader_is_lost(
+    autojump_clock,
+):
+    """Guards against full reads each time that an exclusion ends.
+
+    The platform rejects the first node for 20 s; the second one reads once.
+    """
+    platform = _Platform(change_seconds=1000.0)
+    _, followers = _domain(platform, 2)
+    first, second = _ranked(followers)
+    platform.rejected.add(first)
+    seconds = 20.0
+    with trio.move_on_after(seconds):
+        async with trio.open_nursery() as nursery:
+            for node in followers.values():
+                nursery.start_soon(node.run)
+                nursery.start_soon(node._monitor.run)
+    position_interval = (
+        MAXIMUM_APPLY_SECONDS * platform_monitor.POSITION_INTERVAL_RATIO
+    )
+    probe_interval = (
+        MAXIMUM_APPLY_SECONDS * platform_monitor.PROBE_INTERVAL_RATIO
+    )
+    watches = seconds / follower.WATCH_TIMEOUT_SECONDS + 1
+    probes = STALE_PRICE * seconds / probe_interval
+    assert platform.calls[second] <= (
+        1 + watches + seconds / position_interval + 1 + probes
+    )
+
+
 async def test_changes_of_the_other_topic_cause_no_reads(autojump_clock):
     """Guards against a read of a topic for each change of the other one.
 
