Tell missed changes from those of another node's watch

Cause: found by reading the change. A missed change of a large topic waited for its turn of 32 kB a second, up to 5 s, also where no other node watches. A store that answers stale reads and rejects current ones for their rate would have been asked for its position five times a second. A change named while a reader batched ended the next watch while it delivered. Change: the limit holds only if another node watches the other topic; a failed position read counts like any other; a new watch gets its whole time. Measured: test_a_missed_change_of_a_large_topic_is_read_in_time and test_position_reads_at_the_rate_limit_are_few failed before; test_a_change_named_during_a_batch_window_is_not_read_twice was not run without the change.

--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -392,7 +392,13 @@
         began_at = trio.current_time()
         previous = self._mirror.position
         items = ()
-        self._watch_scope = trio.CancelScope(deadline=self._delivery_due_at)
+        # A change that was named while this node batched is delivered by this
+        # watch.
+        self._watch_scope = trio.CancelScope(
+            deadline=max(
+                self._delivery_due_at, began_at + self._delivery_seconds
+            )
+        )
         with self._watch_scope:
             items, position = await self._monitor.call(
                 self._watch, previous, WATCH_TIMEOUT_SECONDS
@@ -420,16 +426,16 @@
         self._notify()
         await trio.sleep(self._batch_delay(began_at))
 
-    def on_platform_position(self, position, read_at):
+    def on_platform_position(self, position, read_at, *, watches_all=False):
         """Check that a watch has missed no change.
 
         A platform that dropped its history, or a connection that fell silent,
         may leave a watch unanswered. The copy is complete if the watches of
         this node have delivered all changes up to the platform's latest
         position, those of the other topic included. Otherwise a change may
-        just be being delivered, or goes to a watch of another node. If it is
-        not delivered in time, a full read tells; large topics are read less
-        often.
+        just be being delivered; if it is not in time, a full read tells. If
+        another node watches the other topic, large topics are read less
+        often, as the change may be of that topic.
 
         Parameters
         ----------
@@ -437,9 +443,12 @@
             The platform's latest position, of any topic.
         read_at : float
             Time before it was read.
+        watches_all : bool
+            Whether this node watches both topics.
         """
         if not self.is_reader():
-            self._parent_returned.set()
+            if self._is_confirmed:
+                self._parent_returned.set()
             return
         if self._mirror.position >= self._expected_position:
             self._expect_delivery(0, math.inf)
@@ -453,12 +462,10 @@
             self._complete_at = max(self._complete_at, read_at)
             self._expect_delivery(0, math.inf)
         elif not self._expected_position:
-            self._expect_delivery(
-                position,
-                max(
-                    read_at + self._delivery_seconds, self._confirmation_due_at
-                ),
-            )
+            due_at = read_at + self._delivery_seconds
+            if not watches_all:
+                due_at = max(due_at, self._confirmation_due_at)
+            self._expect_delivery(position, due_at)
 
     def _expect_delivery(self, position, due_at):
         """Let a watch that has not delivered a position by a time end."""
--- a/shallotbridge/distribution/platform_monitor.py
+++ b/shallotbridge/distribution/platform_monitor.py
@@ -193,6 +193,11 @@
                 self.probe_count += 1
             else:
                 self.call_count += 1
+                # Also if it fails: a platform at its rate limit may still
+                # answer stale reads.
+                self._position_due_at = (
+                    began_at + self._position_interval_seconds
+                )
             try:
                 position = await self._read_position(may_be_stale)
             except errors.PlatformUnavailableError as error:
@@ -202,9 +207,6 @@
             else:
                 self.heard_at = trio.current_time()
                 if not may_be_stale:
-                    self._position_due_at = (
-                        began_at + self._position_interval_seconds
-                    )
                     self._latest = (position, began_at)
                     self._on_position(position, began_at)
                 responded.set()
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -382,8 +382,12 @@
         )
 
     def _on_platform_position(self, position, read_at):
-        self._upstream_follower.on_platform_position(position, read_at)
-        self._configuration_follower.on_platform_position(position, read_at)
+        followers = (self._upstream_follower, self._configuration_follower)
+        watches_all = all(each.is_reader() for each in followers)
+        for each in followers:
+            each.on_platform_position(
+                position, read_at, watches_all=watches_all
+            )
 
     async def _answer_pull(self, pull):
         if pull.topic == follower.CONFIGURATION:
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -1,6 +1,7 @@
 """Tests of the follower, which keeps a node's mirror up to date."""
 
 import collections
+import functools
 import math
 import random
 
@@ -1138,6 +1139,98 @@
     assert len(reads) <= 2
 
 
+async def test_a_change_named_during_a_batch_window_is_not_read_twice(
+    autojump_clock,
+):
+    """Guards against watches that end while they deliver a large item.
+
+    The configuration changes every 0.3 s, and its transfer takes 0.4 s.
+    """
+    reads = []
+
+    def latest():
+        return 1 + int(trio.current_time() / 0.3)
+
+    async def read_all(may_be_stale):
+        reads.append(trio.current_time())
+        await trio.sleep(0.4)
+        return [_item("op/config", latest())], latest()
+
+    async def read_position(may_be_stale):
+        return latest()
+
+    async def watch(position, seconds):
+        while latest() <= position:
+            await trio.sleep(0.01)
+        now = latest()
+        await trio.sleep(0.4)
+        return [
+            _item("op/config", each) for each in range(position + 1, now + 1)
+        ], now
+
+    node, _ = _follower(
+        1,
+        _Peers(),
+        members=(1,),
+        watch=watch,
+        read_all=read_all,
+        read_position=read_position,
+    )
+    _make_current(node, [_item("op/config", 1)], 1)
+    node._monitor._on_position = functools.partial(
+        node.on_platform_position, watches_all=True
+    )
+    with trio.move_on_after(20.0):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(node._follow)
+            nursery.start_soon(node._monitor.run)
+    assert len(reads) == 1
+
+
+async def test_a_missed_change_of_a_large_topic_is_read_in_time(
+    autojump_clock,
+):
+    """Guards against a missed change that waits for its turn to be read.
+
+    The node watches both topics, so the change can be of no other node's.
+    The topic was read a moment before, and has half a megabyte.
+    """
+    missed_at = 3.0
+    contact_seconds = 3.0
+
+    def latest():
+        return 1 if trio.current_time() < missed_at else 2
+
+    async def read_all(may_be_stale):
+        return [_item("op/config", latest(), b"x" * 500_000)], latest()
+
+    async def read_position(may_be_stale):
+        return latest()
+
+    async def watch(position, seconds):
+        await trio.sleep(seconds)
+        return [], position
+
+    node, _ = _follower(
+        1,
+        _Peers(),
+        members=(1,),
+        watch=watch,
+        read_all=read_all,
+        read_position=read_position,
+    )
+    _make_current(node, [_item("op/config", 1)], 1)
+    node._monitor._on_position = functools.partial(
+        node.on_platform_position, watches_all=True
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(node._follow)
+        nursery.start_soon(node._monitor.run)
+        await trio.sleep_until(missed_at + contact_seconds)
+        assert node._mirror.position == 2
+        nursery.cancel_scope.cancel()
+
+
 async def test_large_topics_are_read_rarely_to_confirm_a_silent_watch(
     autojump_clock,
 ):
--- a/tests/distribution/test_platform_monitor.py
+++ b/tests/distribution/test_platform_monitor.py
@@ -144,6 +144,31 @@
     assert await monitor.call(platform.watch, 1.5) == "changes"
 
 
+async def test_position_reads_at_the_rate_limit_are_few(
+    nursery, autojump_clock
+):
+    """Guards against calls in a loop to a platform that rejects some.
+
+    It rejects current reads for their rate, and answers stale ones.
+    """
+    platform = _Platform()
+
+    async def read_position(may_be_stale):
+        await trio.sleep(platform.seconds)
+        if not may_be_stale:
+            raise errors.PlatformRateError("429")
+        return 1
+
+    platform.read_position = read_position
+    monitor = await _start(nursery, platform)
+    seconds = 20.0
+    assert await monitor.call(platform.watch, seconds) == "changes"
+    position_interval = (
+        MAXIMUM_APPLY_SECONDS * platform_monitor.POSITION_INTERVAL_RATIO
+    )
+    assert monitor.call_count <= seconds / position_interval + 1
+
+
 def test_only_an_unbroken_series_of_changes_is_complete():
     """Guards against a missed change behind later ones of another topic."""
     monitor = platform_monitor.PlatformMonitor(
