--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -1036,6 +1036,23 @@
         nursery.cancel_scope.cancel()
 
 
+def _lone_reader(watch, read_all, read_position, *, watches_all=False):
+    """Return the follower of a configuration, without other nodes."""
+    node, _ = _follower(
+        1,
+        _Peers(),
+        members=(1,),
+        watch=watch,
+        read_all=read_all,
+        read_position=read_position,
+    )
+    _make_current(node, [_item("op/config", 1)], 1)
+    node._monitor._on_position = functools.partial(
+        node.on_platform_position, watches_all=watches_all
+    )
+    return node
+
+
 async def test_a_replaced_reader_ends_its_watch(autojump_clock):
     """Guards against two watches of a domain for as long as one lasts.
 
@@ -1113,15 +1130,7 @@
         await trio.sleep(seconds)
         return [], position
 
-    node, _ = _follower(
-        1,
-        _Peers(),
-        members=(1,),
-        watch=watch,
-        read_all=read_all,
-        read_position=read_position,
-    )
-    _make_current(node, [_item("op/config", 1)], 1)
+    node = _lone_reader(watch, read_all, read_position)
 
     async def deliver_other_topic():
         position = 1
@@ -1168,18 +1177,7 @@
             _item("op/config", each) for each in range(position + 1, now + 1)
         ], now
 
-    node, _ = _follower(
-        1,
-        _Peers(),
-        members=(1,),
-        watch=watch,
-        read_all=read_all,
-        read_position=read_position,
-    )
-    _make_current(node, [_item("op/config", 1)], 1)
-    node._monitor._on_position = functools.partial(
-        node.on_platform_position, watches_all=True
-    )
+    node = _lone_reader(watch, read_all, read_position, watches_all=True)
     with trio.move_on_after(20.0):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(node._follow)
@@ -1211,18 +1209,7 @@
         await trio.sleep(seconds)
         return [], position
 
-    node, _ = _follower(
-        1,
-        _Peers(),
-        members=(1,),
-        watch=watch,
-        read_all=read_all,
-        read_position=read_position,
-    )
-    _make_current(node, [_item("op/config", 1)], 1)
-    node._monitor._on_position = functools.partial(
-        node.on_platform_position, watches_all=True
-    )
+    node = _lone_reader(watch, read_all, read_position, watches_all=True)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(node._follow)
         nursery.start_soon(node._monitor.run)
@@ -1254,15 +1241,7 @@
         await trio.sleep(seconds)
         return [], position
 
-    node, _ = _follower(
-        1,
-        _Peers(),
-        members=(1,),
-        watch=watch,
-        read_all=read_all,
-        read_position=read_position,
-    )
-    _make_current(node, [_item("op/config", 1)], 1)
+    node = _lone_reader(watch, read_all, read_position)
     with trio.move_on_after(120.0):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(node._follow)
