--- a/tests/runtime/loopback.py
+++ b/tests/runtime/loopback.py
@@ -43,16 +43,18 @@
     def __init__(self):
         self._is_open = trio.Event()
         self._is_open.set()
+        self._can_send = True
         self._streams = weakref.WeakSet()
 
-    def close(self):
+    def close(self, *, can_send=False):
         self._is_open = trio.Event()
+        self._can_send = can_send
 
     def open(self):
         self._is_open.set()
 
     async def open_stream(self, address, port):
-        await self._is_open.wait()
+        await self.wait_sendable()
         stream = _GatedStream(await tcp.open_stream(address, port), self)
         self._streams.add(stream)
         return stream
@@ -69,10 +71,15 @@
 
         await tcp.serve(address, port, handle, **options)
 
-    def is_open(self):
-        return self._is_open.is_set()
+    @property
+    def can_send(self):
+        return self._can_send or self._is_open.is_set()
+
+    async def wait_sendable(self):
+        if not self._can_send:
+            await self._is_open.wait()
 
-    async def pass_through(self):
+    async def wait_receivable(self):
         await self._is_open.wait()
 
 
@@ -90,22 +97,22 @@
 
     async def receive_some(self, max_bytes=65536):
         received = await self._stream.receive_some(max_bytes)
-        await self._gate.pass_through()
+        await self._gate.wait_receivable()
         if self.is_silent:
             await trio.sleep_forever()
         return received
 
     async def send_some(self, data):
-        await self._gate.pass_through()
+        await self._gate.wait_sendable()
         self.last_sent = bytes(data)
         return await self._stream.send_some(data)
 
     async def send_all(self, data):
-        await self._gate.pass_through()
+        await self._gate.wait_sendable()
         await self._stream.send_all(data)
 
     def send_nowait(self, data):
-        return self._stream.send_nowait(data) if self._gate.is_open() else 0
+        return self._stream.send_nowait(data) if self._gate.can_send else 0
 
 
 class LoopbackMesh:
@@ -239,9 +246,13 @@
         ]
 
     def cut_store(self, node):
-        """Let no response of the store reach a node, silently."""
+        """Let nothing pass between a node and the store, silently."""
         self._store_gates[node].close()
 
+    def cut_store_one_way(self, node):
+        """Let no response of the store reach a node, silently."""
+        self._store_gates[node].close(can_send=True)
+
     def silence_watches(self, node):
         """Let a node's watches get no response, while new calls do."""
         self._store_gates[node].silence_watches()
--- a/tests/runtime/test_lost_readers.py
+++ b/tests/runtime/test_lost_readers.py
@@ -10,6 +10,7 @@
 DOMAINS = "abc"
 # Nodes whose connections fell silent must be up to date after this time.
 CONTACT_WINDOW_SECONDS = 3.0
+EVACUATION_SECONDS = 5.0
 
 
 async def _lose_readers(mesh, lose, publish_first, publish_second, delay):
@@ -36,6 +37,7 @@
 
 LOSSES = {
     "cut": loopback.LoopbackMesh.cut_store,
+    "cut one way": loopback.LoopbackMesh.cut_store_one_way,
     "frozen": loopback.LoopbackMesh.freeze,
 }
 
@@ -105,6 +107,33 @@
         )
 
 
+@pytest.mark.parametrize("how", LOSSES)
+async def test_a_domain_out_of_service_is_known_in_time_without_the_readers(
+    how,
+):
+    """Guards against requests to a failure domain out of service (EVAC).
+
+    A configuration comes first, and the reader of each failure domain is lost
+    while it batches.
+    """
+    async with loopback.start_mesh(9, domains=DOMAINS) as mesh:
+        others = await _lose_readers(
+            mesh,
+            LOSSES[how],
+            lambda: mesh.store.put(
+                "op/config", dict(test_items.CONFIGURATION, version=9)
+            ),
+            lambda: mesh.store.put("op/evacuate/a", {"zone": "a"}),
+            0.1,
+        )
+        await _wait_in_time(
+            lambda: all(
+                "a" in node.read_view().domains_out for node in others
+            ),
+            EVACUATION_SECONDS,
+        )
+
+
 async def test_a_change_behind_a_silent_connection_is_active_in_time():
     """Guards against a change that a watch on a dead connection hides.
 
