--- a/tests/traffic/test_upstream_client.py
+++ b/tests/traffic/test_upstream_client.py
@@ -209,6 +209,22 @@
         assert (await _send_request(client, "next")).body == b"well"
 
 
+async def test_an_endless_health_check_is_cut_off():
+    """Guards against memory that health checks of a faulty upstream take."""
+    budget = byte_budget.ByteBudget(limit_bytes=1_000_000)
+
+    async def serve(stream, number, request_id):
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(b"HTTP/1.1 200 OK\r\n\r\n")
+            while True:
+                await stream.send_all(b"a" * 65536)
+
+    async with _upstream(serve, budget) as client:
+        with pytest.raises(errors.AnswerMemoryError):
+            await _send_request(client, seconds=5.0)
+        assert budget.held_bytes == 0
+
+
 SMALLEST_HOST_BYTES = 200_000_000
 # Size of a node without requests, and of all else that it holds.
 OTHER_MEMORY_BYTES = 100_000_000
