--- a/shallotbridge/distribution/platform_monitor.py
+++ b/shallotbridge/distribution/platform_monitor.py
@@ -31,6 +31,8 @@
 class PlatformMonitor:
     """Ends the calls of this node when the platform does not respond.
 
+    While calls wait, it probes the platform and reports its latest position.
+
     Parameters
     ----------
     read_position : callable
