Let a full read take the place of a position read

Change: a full read counts as a position read, and its position is reported to both topics once the copy is replaced. Measured: test_a_full_read_replaces_a_position_read is new and needs the new method; tests/distribution pass.

--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -337,7 +337,7 @@
         if may_be_stale:
             items, position = await self._read_all(may_be_stale)
         else:
-            items, position = await self._monitor.call(
+            items, position = await self._monitor.read_all(
                 self._read_all, may_be_stale
             )
         self._on_platform_available()
@@ -353,6 +353,7 @@
         if is_applied and not may_be_stale:
             self._complete_at = began_at
             self._set_current()
+            self._monitor.report_position()
         self._record(
             "items_read",
             topic=self._topic,
--- a/shallotbridge/distribution/platform_monitor.py
+++ b/shallotbridge/distribution/platform_monitor.py
@@ -124,6 +124,19 @@
             self._scopes.discard(scope)
         raise self._make_error()
 
+    async def read_all(self, function, *arguments):
+        """Make a call that returns items and the latest position.
+
+        It takes the place of a position read.
+        """
+        began_at = trio.current_time()
+        self._position_due_at = max(
+            self._position_due_at, began_at + self._position_interval_seconds
+        )
+        items, position = await self.call(function, *arguments)
+        self._latest = (position, began_at)
+        return items, position
+
     async def check(self):
         """Probe the platform unless it has responded just before.
 
@@ -139,10 +152,17 @@
             raise self._make_error()
 
     def add_changes(self, change_positions):
-        """Remember the positions of changes that a watch has delivered."""
+        """Remember the positions of changes that a watch has delivered.
+
+        Followers compare their copies with the latest position again, as
+        these may be the changes that they wait for.
+        """
         self._change_positions.extend(change_positions)
+        self.report_position()
+
+    def report_position(self):
+        """Call ``on_position`` with the latest position that was read."""
         if self._latest is not None:
-            # The changes may be those that a follower waits for.
             self._on_position(*self._latest)
 
     def has_all_changes(self, after, until):
--- a/tests/distribution/test_platform_monitor.py
+++ b/tests/distribution/test_platform_monitor.py
@@ -169,6 +169,32 @@
     assert monitor.call_count <= seconds / position_interval + 1
 
 
+async def test_a_full_read_replaces_a_position_read(nursery, autojump_clock):
+    """Guards against two calls where a new reader needs one.
+
+    A node takes over, reads a topic, and watches; the read has the latest
+    position, which is reported to both topics.
+    """
+    platform = _Platform()
+    monitor = await _start(nursery, platform)
+    reported = []
+    monitor._on_position = lambda position, read_at: reported.append(position)
+
+    async def read_all():
+        await trio.sleep(0.4)
+        return [], 7
+
+    assert await monitor.read_all(read_all) == ([], 7)
+    monitor.report_position()
+    assert reported == [7]
+    assert monitor.call_count == 0
+    position_interval = (
+        MAXIMUM_APPLY_SECONDS * platform_monitor.POSITION_INTERVAL_RATIO
+    )
+    await monitor.call(platform.watch, position_interval)
+    assert monitor.call_count == 1
+
+
 def test_only_an_unbroken_series_of_changes_is_complete():
     """Guards against a missed change behind later ones of another topic."""
     monitor = platform_monitor.PlatformMonitor(
