--- a/shallotbridge/core/byte_budget.py
+++ b/shallotbridge/core/byte_budget.py
@@ -8,7 +8,7 @@
     """The memory for large messages, shared by those that are being read.
 
     A message may hold as much as is free besides. So each of many endless
-    ones ends at an equal share, and a new one always finds room.
+    ones ends near an equal share, and a small new one always finds room.
 
     Parameters
     ----------
