Log which crashes are ignored and which crash records are dropped

Cause: the log does not tell a request with several fingerprints from a record that was dropped or cleared, or from a crash that no request is blamed for. Measured: tests of owner node, crash records and crashing requests pass.

--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -204,7 +204,9 @@
             random=random,
         )
         self._traffic_splitter = routing.TrafficSplitter()
-        self._crash_records = crash_records.CrashRecords()
+        self._crash_records = crash_records.CrashRecords(
+            record=decisions.record
+        )
         # Fingerprints of the records to send to the gossip peers.
         self._crash_news = set()
         self._crash_exchange_due_at = -math.inf
@@ -425,7 +427,10 @@
         barred = self._crash_records.barred_count
         if barred != barred_before:
             decisions.record(
-                "requests_barred", chosen=barred, previous=barred_before
+                "requests_barred",
+                chosen=barred,
+                previous=barred_before,
+                news=[f"{fingerprint:x}" for fingerprint in sorted(news)],
             )
         self._spread_crash_records(news)
 
--- a/shallotbridge/traffic/crash_records.py
+++ b/shallotbridge/traffic/crash_records.py
@@ -53,9 +53,15 @@
     with equal content, stay usable.
 
     Records only grow until they expire, so tables can be merged in any order.
+
+    Parameters
+    ----------
+    record : callable, optional
+        ``record(action, **fields)`` writes a line of the decision log.
     """
 
-    def __init__(self):
+    def __init__(self, *, record=lambda action, **fields: None):
+        self._record = record
         self._records_by_fingerprint = {}
         self._digest = None
         self._succeeded_at_by_fingerprint = collections.OrderedDict()
@@ -219,13 +225,21 @@
             crash_ids=crash_ids, is_cleared=is_cleared, crashed_at=crashed_at
         )
         self._digest = None
-        self._drop_expired(trio.current_time())
+        now = trio.current_time()
+        self._drop_expired(now)
         while len(self._records_by_fingerprint) > MAXIMUM_RECORDS:
             oldest = min(
                 self._records_by_fingerprint,
                 key=lambda each: self._records_by_fingerprint[each].crashed_at,
             )
-            del self._records_by_fingerprint[oldest]
+            dropped = self._records_by_fingerprint.pop(oldest)
+            self._record(
+                "crash_record_dropped",
+                chosen=f"{oldest:x}",
+                crashes=len(dropped.crash_ids),
+                is_cleared=dropped.is_cleared,
+                age_s=round(now - dropped.crashed_at, 1),
+            )
         return True
 
     def _drop_expired(self, now):
--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -752,6 +752,8 @@
             ],
             outcome=outcome,
             status=status,
+            fingerprint=f"{call.fingerprint:x}",
+            crashes=self._known_crashes.crash_count(call.fingerprint),
             code=None if error is None else error.code,
             detail=None if error is None else error.detail,
             retry_after_s=retry_after and round(retry_after, 3),
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -26,6 +26,8 @@
 REPORT_LINES_PER_SECOND = 5
 # Number of slots assumed until the upstream has registered itself.
 INITIAL_SLOTS = 1
+# Number of fingerprints in a line of the log.
+MAXIMUM_LOGGED_FINGERPRINTS = 20
 # Interval at which the queue is checked for requests that can be sent now and
 # for those that are expected to miss their deadline.
 QUEUE_CHECK_INTERVAL_SECONDS = 0.02
@@ -535,6 +537,14 @@
             if response.status < 500 and self._known_crashes.on_success(
                 fingerprint
             ):
+                self._report_log.record(
+                    "crash_record_cleared",
+                    trio.current_time(),
+                    chosen=f"{fingerprint:x}",
+                    request_id=work.request_id,
+                    status=response.status,
+                    upstream=work.upstream_id,
+                )
                 self._on_crash_records_changed((fingerprint,))
             self._last_answer_at = now = trio.current_time()
             is_completed = True
@@ -602,14 +612,29 @@
         neither does one that is lost while the upstream stays up.
         """
         candidates, self._crash_candidates = self._crash_candidates, set()
+        if not candidates:
+            return
         registered = self._registered
         now = trio.current_time()
-        if (
-            not candidates
-            or now - self._candidates_since > CRASH_CONFIRMATION_SECONDS
-            or registered is None
-            or isinstance(self._closed_error(), errors.LeavingError)
-        ):
+        candidates_seconds = now - self._candidates_since
+        ignored_because = None
+        if candidates_seconds > CRASH_CONFIRMATION_SECONDS:
+            ignored_because = (
+                f"the first connection was lost {candidates_seconds:.3f} s ago"
+            )
+        elif registered is None:
+            ignored_because = "no upstream is registered"
+        elif isinstance(error := self._closed_error(), errors.LeavingError):
+            ignored_because = error.detail
+        if ignored_because is not None:
+            self._report_log.record(
+                "crash_ignored",
+                now,
+                chosen=registered and registered.upstream_id,
+                reason=reason,
+                detail=ignored_because,
+                candidates=_describe_fingerprints(candidates),
+            )
             return
         crash_id = crash_records.make_crash_id(
             registered.upstream_id, registered.started_ms
@@ -907,6 +932,15 @@
         instance_id = response.header(self._header_names.instance)
         if instance_id is not None and instance_id == self._instance_id:
             # The connections were reset without a crash.
+            if self._crash_candidates:
+                self._report_log.record(
+                    "crash_ignored",
+                    now,
+                    chosen=instance_id,
+                    reason="connections lost",
+                    detail="a health check names the same upstream",
+                    candidates=_describe_fingerprints(self._crash_candidates),
+                )
             self._crash_candidates.clear()
         if instance_id is not None and instance_id != self._instance_id:
             if self._instance_id is not None:
@@ -989,6 +1023,14 @@
         self.grant()
 
 
+def _describe_fingerprints(fingerprints):
+    """Return some fingerprints as they are written to the log."""
+    return [
+        f"{fingerprint:x}"
+        for fingerprint in sorted(fingerprints)[:MAXIMUM_LOGGED_FINGERPRINTS]
+    ]
+
+
 def _parse_seconds(text):
     """Return a duration in seconds, or None if the text is not valid.
 
