Move the attribution of crashes out of the owner node

Cause: the owner node mixes the evidence of crashes with sending requests, so that it cannot be tested without an upstream. Change: traffic/crash_attribution.py; no change of behaviour. Measured: tests of owner node, crash records and crashing requests pass.

--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -11,6 +11,7 @@
 from ..core import decisions
 from ..core import errors
 from ..core import supervision
+from . import crash_attribution
 from . import crash_records
 from ..distribution import positions
 from . import model
@@ -26,8 +27,6 @@
 REPORT_LINES_PER_SECOND = 5
 # Number of slots assumed until the upstream has registered itself.
 INITIAL_SLOTS = 1
-# Number of fingerprints in a line of the log.
-MAXIMUM_LOGGED_FINGERPRINTS = 20
 # Interval at which the queue is checked for requests that can be sent now and
 # for those that are expected to miss their deadline.
 QUEUE_CHECK_INTERVAL_SECONDS = 0.02
@@ -48,9 +47,6 @@
 # An upstream counts as down after this many unanswered health checks, if no
 # request was answered either.
 UNANSWERED_PROBE_THRESHOLD = 2
-# A lost connection is put down to a crash if a health check shows the crash
-# within this time.
-CRASH_CONFIRMATION_SECONDS = 2.0
 # The configured bound of a cold upstream's request rate is a multiple of its
 # tolerated rate plus a slack. These fractions of the two are used; the rest is
 # a margin for requests that arrive closer together than they were sent.
@@ -124,12 +120,11 @@
             known_crashes = crash_records.CrashRecords()
         self._known_crashes = known_crashes
         self._on_crash_records_changed = on_crash_records_changed
-        # Fingerprints of the requests at the upstream, by ticket.
-        self._fingerprints_by_ticket = {}
-        # Requests in flight at lost connections, until a health check tells
-        # whether the upstream has crashed.
-        self._crash_candidates = set()
-        self._candidates_since = -math.inf
+        self._crash_attribution = crash_attribution.CrashAttribution(
+            known_crashes=known_crashes,
+            on_records_changed=on_crash_records_changed,
+            record=record,
+        )
         self._record = record
         self._cold_start = cold_start.ColdStartLimiter()
         self._rate_limiter = rate_limit.RateLimiter()
@@ -531,7 +526,7 @@
                     "the deadline passed before the request was sent"
                 )
             request = self._make_request(work, ticket.deadline_at - now)
-            self._fingerprints_by_ticket[ticket] = fingerprint
+            self._crash_attribution.on_sent(ticket, fingerprint)
             response = await self._exchange(work, request, ticket)
             # A server error may come from an upstream that did not run it.
             if response.status < 500 and self._known_crashes.on_success(
@@ -562,13 +557,13 @@
                 error, (errors.AnswerMismatchError, errors.AnswerTooLargeError)
             ):
                 # The connection was reset, or closed before the whole answer.
-                self._add_crash_candidates()
+                self._crash_attribution.on_connection_lost()
                 self._probe_requested.set()
             if error.is_connection_lost:
                 self._on_upstream_failure("connection lost", is_down=False)
             raise
         finally:
-            self._fingerprints_by_ticket.pop(ticket, None)
+            self._crash_attribution.on_ended(ticket)
             if not is_completed:
                 self._admission.on_aborted(ticket, trio.current_time())
 
@@ -595,65 +590,14 @@
             self._cancellable_scopes.discard(scope)
         raise errors.OutcomeUnknownError("the upstream stopped responding")
 
-    # Crashes of the upstream.
-
-    def _add_crash_candidates(self):
-        """Note the requests in flight at a lost connection."""
-        now = trio.current_time()
-        if now - self._candidates_since > CRASH_CONFIRMATION_SECONDS:
-            self._crash_candidates.clear()
-            self._candidates_since = now
-        self._crash_candidates.update(self._fingerprints_by_ticket.values())
-
     def _on_crash(self, reason):
-        """Blame the requests in flight at a crash of the upstream.
-
-        Connections that are lost at a planned stop show no crash, and
-        neither does one that is lost while the upstream stays up.
-        """
-        candidates, self._crash_candidates = self._crash_candidates, set()
-        if not candidates:
-            return
         registered = self._registered
-        now = trio.current_time()
-        candidates_seconds = now - self._candidates_since
-        ignored_because = None
-        if candidates_seconds > CRASH_CONFIRMATION_SECONDS:
-            ignored_because = (
-                f"the first connection was lost {candidates_seconds:.3f} s ago"
-            )
-        elif registered is None:
-            ignored_because = "no upstream is registered"
-        elif isinstance(error := self._closed_error(), errors.LeavingError):
-            ignored_because = error.detail
-        if ignored_because is not None:
-            self._report_log.record(
-                "crash_ignored",
-                now,
-                chosen=registered and registered.upstream_id,
-                reason=reason,
-                detail=ignored_because,
-                candidates=_describe_fingerprints(candidates),
-            )
-            return
-        crash_id = crash_records.make_crash_id(
-            registered.upstream_id, registered.started_ms
-        )
-        blamed = self._known_crashes.on_crash(candidates, crash_id)
-        self._report_log.record(
-            "upstream_crashed",
-            now,
-            chosen=registered.upstream_id,
-            started_ms=registered.started_ms,
-            reason=reason,
-            in_flight=len(candidates),
-            blamed=[
-                [f"{each:x}", self._known_crashes.crash_count(each)]
-                for each in blamed
-            ],
+        self._crash_attribution.on_crash(
+            registered and registered.upstream_id,
+            registered and registered.started_ms,
+            reason,
+            is_planned=isinstance(self._closed_error(), errors.LeavingError),
         )
-        if blamed:
-            self._on_crash_records_changed(blamed)
 
     def _make_request(self, work, remaining):
         header_names = self._header_names
@@ -931,17 +875,7 @@
         now = trio.current_time()
         instance_id = response.header(self._header_names.instance)
         if instance_id is not None and instance_id == self._instance_id:
-            # The connections were reset without a crash.
-            if self._crash_candidates:
-                self._report_log.record(
-                    "crash_ignored",
-                    now,
-                    chosen=instance_id,
-                    reason="connections lost",
-                    detail="a health check names the same upstream",
-                    candidates=_describe_fingerprints(self._crash_candidates),
-                )
-            self._crash_candidates.clear()
+            self._crash_attribution.on_alive(instance_id)
         if instance_id is not None and instance_id != self._instance_id:
             if self._instance_id is not None:
                 self._on_crash(f"restarted as {instance_id}")
@@ -1023,14 +957,6 @@
         self.grant()
 
 
-def _describe_fingerprints(fingerprints):
-    """Return some fingerprints as they are written to the log."""
-    return [
-        f"{fingerprint:x}"
-        for fingerprint in sorted(fingerprints)[:MAXIMUM_LOGGED_FINGERPRINTS]
-    ]
-
-
 def _parse_seconds(text):
     """Return a duration in seconds, or None if the text is not valid.
 
