--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -66,6 +66,9 @@
     ----------
     incarnation : int
         Number of starts of the node process.
+    crashes_silently : bool
+    down_seconds : float
+        How the upstream ends; see ``standins.store.UpstreamState``.
     limit : float or None
         Requests per second that the upstream names in its answers.
     is_leaving : bool
@@ -86,6 +89,8 @@
         self.upstream_number = 0
         self.report_number = 0
         self.crashed = trio.Event()
+        self.crashes_silently = False
+        self.down_seconds = CRASH_SECONDS
         self.limit = None
         self.is_leaving = False
         self.is_older = False
@@ -161,9 +166,7 @@
 
     async def _start_host(self, host):
         await self._nursery.start(
-            functools.partial(
-                store_standin.serve_upstream, down_seconds=CRASH_SECONDS
-            ),
+            store_standin.serve_upstream,
             host,
             functools.partial(self._respond, host),
             host.public_address,
--- a/standins/store.py
+++ b/standins/store.py
@@ -219,10 +219,15 @@
         Number of further requests that it refuses.
     cut_response : bytes or None
         If set, sent in place of each answer before the connection is closed.
-    crashing_target : str or None
-        Path and query of the requests that end it; see ``serve_upstream``.
+    crashing_path : str or None
+        Path of the requests that end it; see ``serve_upstream``.
     crash_count : int
         Number of times that it has ended.
+    crashes_silently : bool
+        Whether its connections stay open without answers after a crash,
+        until it starts again.
+    down_seconds : float
+        Time from a crash until it accepts connections again.
     """
 
     def __init__(self, instance_id, *, seconds=0.01):
@@ -234,8 +239,10 @@
         self.leaving = None
         self.refusals_left = 0
         self.cut_response = None
-        self.crashing_target = None
+        self.crashing_path = None
         self.crash_count = 0
+        self.crashes_silently = False
+        self.down_seconds = 1.0
         self.crashed = trio.Event()
         self.cold_ms = 0
         self.may_respond = trio.Event()
@@ -257,6 +264,8 @@
         return dataclasses.replace(response, headers=response.headers + added)
 
     async def _handle_request(self, request):
+        if self.crashed.is_set():
+            await trio.sleep_forever()
         instance = model.Header(name="instance-id", value=self.instance_id)
         if request.target == "/health":
             cold = model.Header(name="cold-remaining", value=str(self.cold_ms))
@@ -269,10 +278,10 @@
             self.refusals_left -= 1
             return make_refusal(request)
         self.requests.append(request)
-        if request.target == self.crashing_target:
+        if request.target.partition("?")[0] == self.crashing_path:
             await trio.sleep(self.seconds)
             self.crash()
-            return b""
+            await trio.sleep_forever()
         if self.cut_response is not None:
             return self.cut_response
         await trio.sleep(self.seconds)
@@ -288,7 +297,7 @@
         )
 
     def crash(self):
-        """End all connections and refuse new ones for a time."""
+        """End all connections, or stop answering, and start again later."""
         self.crash_count += 1
         self.crashed.set()
 
@@ -299,7 +308,6 @@
     address,
     port,
     *,
-    down_seconds=1.0,
     repeats_refusals=False,
     task_status=trio.TASK_STATUS_IGNORED,
 ):
@@ -313,8 +321,6 @@
         See ``make_handler``.
     address : str
     port : int
-    down_seconds : float
-        Time from a crash until it accepts connections again.
     repeats_refusals : bool
         See ``make_handler``.
     """
@@ -327,8 +333,11 @@
                 task_status.started()
                 task_status = None
             await state.crashed.wait()
+            if state.crashes_silently:
+                await trio.sleep(state.down_seconds)
             nursery.cancel_scope.cancel()
-        await trio.sleep(down_seconds)
+        if not state.crashes_silently:
+            await trio.sleep(state.down_seconds)
 
 
 def make_refusal(request):
--- a/tests/runtime/loopback.py
+++ b/tests/runtime/loopback.py
@@ -176,8 +176,9 @@
         self.nodes.append(node)
         await node.start(self.nursery)
 
-    def make_entry(self, number, domain, **status):
+    def make_entry(self, number, domain, *, restarts=0, **status):
         entry = dict(test_items.ENTRY)
+        entry["born"] += 1000 * restarts
         entry["address"] = f"{self.address(number)}:{UPSTREAM_PORT}"
         entry["information"] = dict(
             service="shop", version="v1", zone=domain, slots=2
@@ -263,7 +264,13 @@
         self._peer_gates[node].close()
 
     async def send_request(
-        self, number, request_id, *, path="/browse/1", method="GET"
+        self,
+        number,
+        request_id,
+        *,
+        path="/browse/1",
+        method="GET",
+        host="shop.example",
     ):
         """Send one request to a node and return the response."""
         stream = await tcp.open_stream(self.address(number), CLIENT_PORT)
@@ -276,7 +283,7 @@
                         headers=tuple(
                             messages.Header(name=name, value=value)
                             for name, value in (
-                                ("host", "shop.example"),
+                                ("host", host),
                                 ("attempt-id", request_id),
                                 ("deadline-remaining", "3000"),
                             )
--- a/tests/runtime/test_crashing_requests.py
+++ b/tests/runtime/test_crashing_requests.py
@@ -1,5 +1,8 @@
 """Tests of requests that end the upstreams that run them."""
 
+import itertools
+
+import pytest
 import trio
 
 from shallotbridge.traffic import crash_records
@@ -11,9 +14,9 @@
 CONTACT_WINDOW_SECONDS = 3.0
 
 
-def _run_count(mesh, target):
+def _run_count(mesh, path):
     return sum(
-        request.target == target
+        request.target.partition("?")[0] == path
         for upstream in mesh.upstreams
         for request in upstream.requests
     )
@@ -28,16 +31,29 @@
     assert 200 in statuses and 429 not in statuses
 
 
-async def _send_until_three_crashes(mesh):
-    """Send the harmful request to one node until it is known as such."""
+def _crash_count(mesh):
+    return sum(upstream.crash_count for upstream in mesh.upstreams)
+
+
+async def _send_until_crashes(mesh, count=3, make_options=None):
+    """Send the harmful request until it has ended some upstreams.
+
+    Parameters
+    ----------
+    make_options : callable, optional
+        ``make_options(number)`` returns options of the request.
+    """
     for upstream in mesh.upstreams:
-        upstream.crashing_target = HARMFUL_PATH
-    number = 0
+        upstream.crashing_path = HARMFUL_PATH
     with trio.fail_after(20):
-        while sum(each.crash_count for each in mesh.upstreams) < 3:
-            number += 1
+        for number in itertools.count():
+            if _crash_count(mesh) >= count:
+                return
+            options = make_options(number) if make_options else {}
             await mesh.send_request(
-                number % 3 + 1, f"h{number}", path=HARMFUL_PATH
+                number % min(3, len(mesh.nodes)) + 1,
+                f"h{number}",
+                **{"path": HARMFUL_PATH} | options,
             )
             await trio.sleep(0.1)
 
@@ -49,7 +65,7 @@
     in the crashes knows within the time in which nodes learn of changes.
     """
     async with loopback.start_mesh(6) as mesh:
-        await _send_until_three_crashes(mesh)
+        await _send_until_crashes(mesh)
         await trio.sleep(CONTACT_WINDOW_SECONDS)
         sent_before = _run_count(mesh, HARMFUL_PATH)
         for number in range(1, 7):
@@ -67,7 +83,7 @@
 async def test_a_node_that_restarts_learns_which_requests_are_refused():
     """Guards against a restart that lets a harmful request through again."""
     async with loopback.start_mesh(4) as mesh:
-        await _send_until_three_crashes(mesh)
+        await _send_until_crashes(mesh)
         await loopback.wait_until(
             lambda: all(
                 node._crash_records.barred_count for node in mesh.nodes
@@ -98,7 +114,7 @@
 
             nursery.start_soon(browse)
             await trio.sleep(0.3)
-            await _send_until_three_crashes(mesh)
+            await _send_until_crashes(mesh)
             await trio.sleep(1.0)
             nursery.cancel_scope.cancel()
         mesh.upstreams[0].cut_response = b""
@@ -144,3 +160,102 @@
             node._crash_records.export = lambda *only: sent.append(only) or ()
         await trio.sleep(2.0)
         assert not sent
+
+
+def _with_another_query(number):
+    return {"path": f"{HARMFUL_PATH}?page={number}"}
+
+
+def _with_another_method(number):
+    return {"method": ("GET", "POST", "PUT")[number % 3]}
+
+
+def _with_another_host(number):
+    return {"host": ("shop.example", "Shop.Example:80")[number % 2]}
+
+
+@pytest.mark.parametrize(
+    "make_options",
+    [_with_another_query, _with_another_method, _with_another_host],
+)
+async def test_a_repetition_with_an_equal_path_is_refused(make_options):
+    """Guards against an identity that is narrower than the rule's (BUDGET).
+
+    The pages compare path, caller and body.
+    """
+    async with loopback.start_mesh(6) as mesh:
+        await _send_until_crashes(mesh, make_options=make_options)
+        await trio.sleep(CONTACT_WINDOW_SECONDS)
+        sent_before = _run_count(mesh, HARMFUL_PATH)
+        for number in range(100, 112):
+            response = await mesh.send_request(
+                number % 6 + 1,
+                f"again-{number}",
+                **{"path": HARMFUL_PATH} | make_options(number),
+            )
+            assert response.status == 429
+        assert _run_count(mesh, HARMFUL_PATH) == sent_before
+        await _check_is_served(mesh, "/browse/1")
+
+
+async def test_a_request_under_which_upstreams_fall_silent_is_blamed():
+    """Guards against crashes that reset no connection.
+
+    The upstream accepts connections and answers nothing until it is back.
+    """
+    async with loopback.start_mesh(2) as mesh:
+        for upstream in mesh.upstreams:
+            upstream.crashes_silently = True
+            upstream.down_seconds = 5.0
+        await _send_until_crashes(mesh, 1)
+        with trio.fail_after(3.5):
+            while not any(len(node._crash_records) for node in mesh.nodes):
+                await trio.sleep(0.05)
+
+
+async def test_a_request_whose_upstreams_return_under_their_id_is_blamed():
+    """Guards against a crash that looks like a reset.
+
+    A health check names the id that is known; the start that the upstream
+    publishes is later.
+    """
+    async with loopback.start_mesh(2) as mesh:
+        for upstream in mesh.upstreams:
+            upstream.down_seconds = 0.0
+        await _send_until_crashes(mesh, 1)
+        await trio.sleep(0.3)
+        assert not any(len(node._crash_records) for node in mesh.nodes)
+        for number, upstream in enumerate(mesh.upstreams, 1):
+            if upstream.crash_count:
+                mesh.store.put(
+                    f"servers/i-{number}",
+                    mesh.make_entry(
+                        number, "ab"[number % 2], restarts=upstream.crash_count
+                    ),
+                )
+        with trio.fail_after(CONTACT_WINDOW_SECONDS):
+            while not all(len(node._crash_records) for node in mesh.nodes):
+                await trio.sleep(0.02)
+
+
+async def test_a_request_whose_client_leaves_is_blamed():
+    """Guards against a client that leaves before its request ends upstreams.
+
+    The upstream runs the request on.
+    """
+    async with loopback.start_mesh(2) as mesh:
+        for upstream in mesh.upstreams:
+            upstream.crashing_path = HARMFUL_PATH
+            upstream.seconds = 0.15
+        with trio.fail_after(10):
+            for number in itertools.count():
+                with trio.move_on_after(0.05):
+                    await mesh.send_request(
+                        number % 2 + 1, f"h{number}", path=HARMFUL_PATH
+                    )
+                await trio.sleep(0.2)
+                if _crash_count(mesh):
+                    break
+        await loopback.wait_until(
+            lambda: all(len(node._crash_records) for node in mesh.nodes)
+        )
--- a/tests/traffic/test_crash_records.py
+++ b/tests/traffic/test_crash_records.py
@@ -148,3 +148,67 @@
     assert first.digest != second.digest
     first.merge(second.export([3]))
     assert first.digest == second.digest
+
+
+def _exchange(*tables):
+    for first, second in itertools.permutations(tables, 2):
+        first.merge(second.export())
+
+
+async def test_a_refused_request_outlives_the_records_of_bystanders(
+    autojump_clock,
+):
+    """Guards against a full table that forgets a refused request (BUDGET).
+
+    Bystanders of later crashes have newer records.
+    """
+    records = crash_records.CrashRecords()
+    for crash_id in range(crash_records.CRASH_LIMIT):
+        records.on_crash([HARMFUL], crash_id)
+    bystanders = iter(range(1000, 10_000))
+    for crash_id in range(100, 100 + 2 * crash_records.MAXIMUM_RECORDS // 12):
+        await trio.sleep(0.1)
+        records.on_crash(list(itertools.islice(bystanders, 12)), crash_id)
+    assert len(records) == crash_records.MAXIMUM_RECORDS
+    assert records.is_barred(HARMFUL)
+
+
+async def test_a_request_that_completed_before_its_crashes_is_refused(
+    autojump_clock,
+):
+    """Guards against a completion that excuses all crashes for a time."""
+    records = crash_records.CrashRecords()
+    records.on_success(HARMFUL)
+    for crash_id in range(5):
+        await trio.sleep(2.0)
+        records.on_crash([HARMFUL], crash_id)
+    assert records.is_barred(HARMFUL)
+
+
+async def test_a_completion_that_another_node_saw_excuses_no_later_crash(
+    autojump_clock,
+):
+    """Guards against a completion before the crashes that clears them."""
+    first, second = crash_records.CrashRecords(), crash_records.CrashRecords()
+    second.on_success(HARMFUL)
+    for crash_id in range(crash_records.CRASH_LIMIT):
+        await trio.sleep(1.0)
+        first.on_crash([HARMFUL], crash_id)
+        _exchange(first, second)
+    assert first.is_barred(HARMFUL) and second.is_barred(HARMFUL)
+
+
+async def test_a_completion_excuses_earlier_crashes_only(autojump_clock):
+    """Guards against a record that is cleared for as long as it lives."""
+    first, second = crash_records.CrashRecords(), crash_records.CrashRecords()
+    first.on_crash([HARMFUL], 1)
+    _exchange(first, second)
+    await trio.sleep(1.0)
+    second.on_success(HARMFUL)
+    _exchange(first, second)
+    assert first.crash_count(HARMFUL) == second.crash_count(HARMFUL) == 0
+    for crash_id in range(2, 2 + crash_records.CRASH_LIMIT):
+        await trio.sleep(1.0)
+        first.on_crash([HARMFUL], crash_id)
+        _exchange(first, second)
+    assert first.is_barred(HARMFUL) and second.is_barred(HARMFUL)
