Compare path, caller and body to recognise a crashing request

Cause: callers lost one upstream after another to a request that came with another query each time. The fingerprint contained the query, the method and the text of the host header; the users' pages say 'the same path, caller and body'. Each variant had its own count of three. Change: a request has two fingerprints: path, caller and body, with the host as routes compare it; and, with method and query added, its exact form. Either bars it. Completions of other queries clear the first only, so that a path that is in use stays usable and a harmful query of it is still refused.

--- a/shallotbridge/traffic/call.py
+++ b/shallotbridge/traffic/call.py
@@ -30,8 +30,8 @@
     maximum_wait_seconds : float
         Maximum expected queue time of an owner node that gets an offer,
         seconds.
-    fingerprint : int
-        See ``crash_records.make_fingerprint``.
+    fingerprints : tuple of int
+        See ``crash_records.make_fingerprints``.
     """
 
     __slots__ = (
@@ -50,7 +50,7 @@
         "sent_at",
         "mirror_state",
         "maximum_wait_seconds",
-        "fingerprint",
+        "fingerprints",
     )
 
     def __init__(
@@ -64,7 +64,7 @@
         headers,
         started_at,
         deadline_at,
-        fingerprint=0,
+        fingerprints=(0,),
     ):
         self.request = request
         self.request_id = request_id
@@ -81,7 +81,7 @@
         self.sent_at = started_at
         self.mirror_state = None
         self.maximum_wait_seconds = math.inf
-        self.fingerprint = fingerprint
+        self.fingerprints = fingerprints
 
 
 def parse_deadline_seconds(value):
--- a/shallotbridge/traffic/crash_attribution.py
+++ b/shallotbridge/traffic/crash_attribution.py
@@ -42,9 +42,9 @@
         self._candidates = set()
         self._candidates_since = -math.inf
 
-    def on_sent(self, ticket, fingerprint):
+    def on_sent(self, ticket, fingerprints):
         """Note that a request is sent to the upstream."""
-        self._fingerprints_by_ticket[ticket] = fingerprint
+        self._fingerprints_by_ticket[ticket] = fingerprints
 
     def on_ended(self, ticket):
         """Note that a request is no longer in flight."""
@@ -56,7 +56,7 @@
         if now - self._candidates_since > CRASH_CONFIRMATION_SECONDS:
             self._candidates.clear()
             self._candidates_since = now
-        self._candidates.update(self._fingerprints_by_ticket.values())
+        self._candidates.update(*self._fingerprints_by_ticket.values())
 
     def on_alive(self, upstream_id):
         """Note that a health check names the upstream that was known."""
--- a/shallotbridge/traffic/crash_records.py
+++ b/shallotbridge/traffic/crash_records.py
@@ -12,6 +12,7 @@
 
 from .._generated import link
 from ..core import errors
+from . import routing
 
 # Number of upstreams that a request may end before it is refused.
 CRASH_LIMIT = 3
@@ -86,12 +87,21 @@
         """Number of requests that are refused."""
         return sum(map(self.is_barred, list(self._records_by_fingerprint)))
 
-    def is_barred(self, fingerprint):
+    def is_barred(self, *fingerprints):
         """Return whether a request is refused."""
-        return self.crash_count(fingerprint) >= CRASH_LIMIT
+        return self.crash_count(*fingerprints) >= CRASH_LIMIT
 
-    def crash_count(self, fingerprint):
-        """Return how many upstreams a request has ended, as far as known."""
+    def crash_count(self, *fingerprints):
+        """Return how many upstreams a request has ended, as far as known.
+
+        Parameters
+        ----------
+        *fingerprints : int
+            See ``make_fingerprints``; the highest count is returned.
+        """
+        return max(map(self._crash_count, fingerprints))
+
+    def _crash_count(self, fingerprint):
         record = self._records_by_fingerprint.get(fingerprint)
         if record is None or record.is_cleared:
             return 0
@@ -99,19 +109,22 @@
             return 0
         return len(record.crash_ids)
 
-    def check(self, fingerprint):
+    def check(self, *fingerprints):
         """Raise an error for a request that is refused.
 
         Raises
         ------
         errors.QuarantinedError
         """
-        if not self.is_barred(fingerprint):
+        barred = [each for each in fingerprints if self.is_barred(each)]
+        if not barred:
             return
-        crashed_at = self._records_by_fingerprint[fingerprint].crashed_at
+        crashed_at = max(
+            self._records_by_fingerprint[each].crashed_at for each in barred
+        )
         seconds = crashed_at + RECORD_SECONDS - trio.current_time()
         error = errors.QuarantinedError(
-            f"request {fingerprint:x} was in flight when {CRASH_LIMIT} "
+            f"request {barred[0]:x} was in flight when {CRASH_LIMIT} "
             f"upstreams crashed; it is refused for another {seconds:.0f} s"
         )
         error.retry_after = seconds
@@ -151,8 +164,17 @@
             self._add(fingerprint, frozenset((crash_id,)), False, now)
         return blamed
 
-    def on_success(self, fingerprint):
-        """Note that a request has completed; return whether that is news."""
+    def on_success(self, *fingerprints):
+        """Note that a request has completed.
+
+        Returns
+        -------
+        tuple of int
+            The fingerprints whose records have changed.
+        """
+        return tuple(filter(self._on_success, fingerprints))
+
+    def _on_success(self, fingerprint):
         now = trio.current_time()
         succeeded = self._succeeded_at_by_fingerprint
         succeeded[fingerprint] = now
@@ -253,20 +275,44 @@
             self._digest = None
 
 
-def make_fingerprint(*, method, target, host, caller_service, body):
-    """Return a digest that is equal for a request and its repetitions.
+def make_fingerprints(*, method, target, host, caller_service, body):
+    """Return digests that are equal for a request and its repetitions.
+
+    Two requests are the same if path, caller and body are. The second digest
+    also depends on method and query: where requests that differ in these only
+    complete, it still tells one that does not.
+
+    Parameters
+    ----------
+    method, target : str
+    host : str or None
+        Value of the Host header.
+    caller_service : str or None
+        Service of the host where the request began.
+    body : bytes
+
+    Returns
+    -------
+    tuple of (int, int)
 
     Examples
     --------
-    >>> make_fingerprint(
-    ...     method="GET", target="/a", host="h", caller_service="s", body=b""
-    ... ) == make_fingerprint(
-    ...     method="GET", target="/b", host="h", caller_service="s", body=b""
-    ... )
+    >>> def make(**changed):
+    ...     request = {"method": "GET", "target": "/a", "host": "h"}
+    ...     request |= {"caller_service": "s", "body": b""}
+    ...     return make_fingerprints(**(request | changed))
+    >>> make(target="/b")[0] == make()[0]
+    False
+    >>> make(target="/a?b=1")[0] == make(method="PUT", host="H:80")[0]
+    True
+    >>> make(target="/a?b=1")[1] == make()[1]
     False
     """
-    head = "\n".join((method, target, host or "", caller_service or ""))
-    return _digest(head.encode("utf-8", "surrogateescape"), body)
+    path, _, query = target.partition("?")
+    head = "\n".join((path, routing.host_name(host), caller_service or ""))
+    digest = _digest(head.encode("utf-8", "surrogateescape"), body)
+    variant = f"{digest}\n{method}\n{query}"
+    return digest, _digest(variant.encode("utf-8", "surrogateescape"), b"")
 
 
 def make_crash_id(upstream_id, started_ms):
--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -293,7 +293,7 @@
             headers=tuple(headers),
             started_at=now,
             deadline_at=now + seconds,
-            fingerprint=crash_records.make_fingerprint(
+            fingerprints=crash_records.make_fingerprints(
                 method=request.method,
                 target=request.target,
                 host=request.header("host"),
@@ -392,7 +392,7 @@
         now = trio.current_time()
         expected_duration = self._selector.expected_seconds(call.route)
         return (
-            self._known_crashes.crash_count(call.fingerprint)
+            self._known_crashes.crash_count(*call.fingerprints)
             < crash_records.CRASH_LIMIT - 1
             and self._selector.service_failure_ratio(call.service)
             < MAXIMUM_RETRY_FAILURE_RATIO
@@ -485,7 +485,7 @@
     async def _send(self, call):
         """Send a request to the best owner node and return the answer."""
         now = trio.current_time()
-        self._known_crashes.check(call.fingerprint)
+        self._known_crashes.check(*call.fingerprints)
         if now >= call.deadline_at:
             raise errors.DeadlineBeforeSendError(
                 "the deadline passed before an owner node was chosen"
@@ -752,8 +752,8 @@
             ],
             outcome=outcome,
             status=status,
-            fingerprint=f"{call.fingerprint:x}",
-            crashes=self._known_crashes.crash_count(call.fingerprint),
+            fingerprints=[f"{each:x}" for each in call.fingerprints],
+            crashes=self._known_crashes.crash_count(*call.fingerprints),
             code=None if error is None else error.code,
             detail=None if error is None else error.detail,
             retry_after_s=retry_after and round(retry_after, 3),
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -381,15 +381,15 @@
         started = now
         try:
             self._check_target(work)
-            fingerprint = self._make_fingerprint(work)
-            self._known_crashes.check(fingerprint)
+            fingerprints = self._make_fingerprints(work)
+            self._known_crashes.check(*fingerprints)
             self._count_sender(work.sender, now)
             self._adopt_limit(work)
             ticket, decision = self._offer(work, now, delay)
             await self._wait_for_slot(ticket, decision)
             started = trio.current_time()
             view_at_send = self._read_mirror_states().upstreams
-            response = await self._send(work, ticket, fingerprint)
+            response = await self._send(work, ticket, fingerprints)
         except errors.CallError as error:
             return self._reply_error(work, error, now, started)
         run_seconds = trio.current_time() - started
@@ -503,9 +503,9 @@
         if decision.error is not None:
             raise decision.error
 
-    def _make_fingerprint(self, work):
+    def _make_fingerprints(self, work):
         headers = dict(work.headers)
-        return crash_records.make_fingerprint(
+        return crash_records.make_fingerprints(
             method=work.method,
             target=work.target,
             host=headers.get("host"),
@@ -513,11 +513,11 @@
             body=work.body,
         )
 
-    async def _send(self, work, ticket, fingerprint):
+    async def _send(self, work, ticket, fingerprints):
         is_completed = False
         now = trio.current_time()
         try:
-            self._known_crashes.check(fingerprint)
+            self._known_crashes.check(*fingerprints)
             # The upstream may have begun to leave since the slot was granted.
             if isinstance(error := self._closed_error(), errors.LeavingError):
                 raise error
@@ -526,21 +526,11 @@
                     "the deadline passed before the request was sent"
                 )
             request = self._make_request(work, ticket.deadline_at - now)
-            self._crash_attribution.on_sent(ticket, fingerprint)
+            self._crash_attribution.on_sent(ticket, fingerprints)
             response = await self._exchange(work, request, ticket)
             # A server error may come from an upstream that did not run it.
-            if response.status < 500 and self._known_crashes.on_success(
-                fingerprint
-            ):
-                self._report_log.record(
-                    "crash_record_cleared",
-                    trio.current_time(),
-                    chosen=f"{fingerprint:x}",
-                    request_id=work.request_id,
-                    status=response.status,
-                    upstream=work.upstream_id,
-                )
-                self._on_crash_records_changed((fingerprint,))
+            if response.status < 500:
+                self._on_request_completed(work, response, fingerprints)
             self._last_answer_at = now = trio.current_time()
             is_completed = True
             self._admission.on_completed(ticket, now)
@@ -590,6 +580,19 @@
             self._cancellable_scopes.discard(scope)
         raise errors.OutcomeUnknownError("the upstream stopped responding")
 
+    def _on_request_completed(self, work, response, fingerprints):
+        cleared = self._known_crashes.on_success(*fingerprints)
+        if cleared:
+            self._report_log.record(
+                "crash_record_cleared",
+                trio.current_time(),
+                chosen=[f"{fingerprint:x}" for fingerprint in cleared],
+                request_id=work.request_id,
+                status=response.status,
+                upstream=work.upstream_id,
+            )
+            self._on_crash_records_changed(cleared)
+
     def _on_crash(self, reason):
         registered = self._registered
         self._crash_attribution.on_crash(
--- a/shallotbridge/traffic/routing.py
+++ b/shallotbridge/traffic/routing.py
@@ -3,6 +3,17 @@
 from ..core import errors
 
 
+def host_name(host):
+    """Return the name in the value of a Host header, in lower case.
+
+    Examples
+    --------
+    >>> host_name("Shop.example:80"), host_name(None)
+    ('shop.example', '')
+    """
+    return (host or "").partition(":")[0].lower()
+
+
 def find_route(configuration, host, target):
     """Return the route whose path prefix is the longest match.
 
@@ -23,8 +34,8 @@
     errors.NoRouteError
         No route of the host has a prefix that matches the path.
     """
-    host_name = (host or "").partition(":")[0].lower()
-    routes_by_prefix = configuration.routes_by_host.get(host_name)
+    name = host_name(host)
+    routes_by_prefix = configuration.routes_by_host.get(name)
     if routes_by_prefix is not None:
         path = target.partition("?")[0]
         end = len(path)
@@ -35,7 +46,7 @@
                 return route
     raise errors.NoRouteError(
         f"no route of version {configuration.version} for host "
-        f"{host_name!r} and path {target[:100]!r}"
+        f"{name!r} and path {target[:100]!r}"
     )
 
 
--- a/tests/runtime/test_crashing_requests.py
+++ b/tests/runtime/test_crashing_requests.py
@@ -134,7 +134,7 @@
         records = mesh.nodes[0]._crash_records
         records.on_crash([1], 1)
         for node in mesh.nodes:
-            node._owner._make_fingerprint = lambda work: 1
+            node._owner._make_fingerprints = lambda work: (1,)
         for upstream in mesh.upstreams:
             upstream.cut_response = (
                 b"HTTP/1.1 500 Internal Server Error\r\nattempt-id: r\r\n"
--- a/tests/traffic/test_crash_attribution.py
+++ b/tests/traffic/test_crash_attribution.py
@@ -32,12 +32,12 @@
     The upstream is full and resets connections; the health check that shows
     its crash comes late.
     """
-    attribution.on_sent("reset", BYSTANDER)
+    attribution.on_sent("reset", (BYSTANDER,))
     attribution.on_connection_lost()
     attribution.on_ended("reset")
     attribution.on_alive("u1")
     await trio.sleep(1.9)
-    attribution.on_sent("harmful", HARMFUL)
+    attribution.on_sent("harmful", (HARMFUL,))
     attribution.on_connection_lost()
     attribution.on_ended("harmful")
     await trio.sleep(0.5)
--- a/tests/traffic/test_crash_records.py
+++ b/tests/traffic/test_crash_records.py
@@ -212,3 +212,47 @@
         first.on_crash([HARMFUL], crash_id)
         _exchange(first, second)
     assert first.is_barred(HARMFUL) and second.is_barred(HARMFUL)
+
+
+def _make_fingerprints(**changed):
+    request = {
+        "method": "GET",
+        "target": "/parcel/7?page=1",
+        "host": "shop.example",
+        "caller_service": "lab",
+        "body": b"",
+    }
+    return crash_records.make_fingerprints(**(request | changed))
+
+
+@pytest.mark.parametrize(
+    "changed",
+    [
+        {"target": "/parcel/8?page=1"},
+        {"host": "other.example"},
+        {"caller_service": "desk"},
+        {"body": b"7"},
+    ],
+)
+async def test_a_request_that_differs_is_not_refused(changed):
+    """Guards against an identity that is wider than path, caller and body."""
+    records = crash_records.CrashRecords()
+    for crash_id in range(crash_records.CRASH_LIMIT):
+        records.on_crash(_make_fingerprints(), crash_id)
+    assert records.is_barred(*_make_fingerprints())
+    assert not records.is_barred(*_make_fingerprints(**changed))
+
+
+async def test_a_query_beside_others_that_complete_is_refused(autojump_clock):
+    """Guards against completions of other queries that excuse a harmful one.
+
+    The others stay usable.
+    """
+    records = crash_records.CrashRecords()
+    for crash_id in range(crash_records.CRASH_LIMIT):
+        records.on_crash(_make_fingerprints(), crash_id)
+        await trio.sleep(1.0)
+        other = _make_fingerprints(target=f"/parcel/7?page={crash_id + 2}")
+        records.on_success(*other)
+        assert not records.is_barred(*other)
+    assert records.is_barred(*_make_fingerprints())
