Drop the crash records with fewest crashes first

Cause: a full table dropped the record whose last crash was oldest. A request that is refused gets no further crash, so the bystanders of later crashes pushed its record out, and it ended three more upstreams. Change: records with fewer crashes that no completion excuses go first.

--- a/shallotbridge/traffic/crash_records.py
+++ b/shallotbridge/traffic/crash_records.py
@@ -250,20 +250,28 @@
         now = trio.current_time()
         self._drop_expired(now)
         while len(self._records_by_fingerprint) > MAXIMUM_RECORDS:
-            oldest = min(
-                self._records_by_fingerprint,
-                key=lambda each: self._records_by_fingerprint[each].crashed_at,
+            dropped_fingerprint = min(
+                self._records_by_fingerprint, key=self._weight
             )
-            dropped = self._records_by_fingerprint.pop(oldest)
+            dropped = self._records_by_fingerprint.pop(dropped_fingerprint)
             self._record(
                 "crash_record_dropped",
-                chosen=f"{oldest:x}",
+                chosen=f"{dropped_fingerprint:x}",
                 crashes=len(dropped.crash_ids),
                 is_cleared=dropped.is_cleared,
                 age_s=round(now - dropped.crashed_at, 1),
             )
         return True
 
+    def _weight(self, fingerprint):
+        """Return the order in which records are dropped from a full table.
+
+        Bystanders of later crashes have newer records than a request that is
+        refused and gets no further crash.
+        """
+        crashed_at = self._records_by_fingerprint[fingerprint].crashed_at
+        return self._crash_count(fingerprint), crashed_at, fingerprint
+
     def _drop_expired(self, now):
         expired = [
             fingerprint
