Let a completion excuse only the crashes before it

Cause: a request that completed once was not blamed for 30 s, and where a node had seen it complete, its record was cleared for as long as it lived, up to 600 s after its last crash, whatever it ended later. Change: a record counts completions; the crashes since the last one count. Of two records the one with more completions holds, so tables still merge in any order. A completion and a crash within 0.5 s at different nodes are not put in order: frequent equal requests stay usable when upstreams end at once.

--- a/shallotbridge/_generated/link.py
+++ b/shallotbridge/_generated/link.py
@@ -161,12 +161,14 @@
 
     # digest of the request
     fingerprint: int
-    # digests of the incarnations that crashed
+    # digests of the incarnations that crashed since the last completion
     crash_ids: tuple[int, ...]
-    # the request completed afterwards
+    # the request completed after the last crash
     is_cleared: bool
     # time since the last of the crashes
     age_ms: float
+    # how often the request completed after crashes
+    completions: int = 0
 
 
 class Ping(
--- a/shallotbridge/traffic/crash_records.py
+++ b/shallotbridge/traffic/crash_records.py
@@ -20,9 +20,12 @@
 # later may end as many upstreams again.
 RECORD_SECONDS = 600.0
 MAXIMUM_RECORDS = 250
-# Requests that completed within this time are not blamed for a crash.
-SUCCESS_SECONDS = 30.0
+# A completion at one node and a crash at another within this time are not put
+# in order: the completion excuses the crash.
+COINCIDENCE_SECONDS = 0.5
 MAXIMUM_SUCCESSES = 4096
+# Records of peers with a higher number are malformed.
+MAXIMUM_COMPLETIONS = 2**31
 # Digests must fit into a signed 64-bit integer on the wire.
 _DIGEST_BYTES = 7
 
@@ -33,27 +36,29 @@
 
     Attributes
     ----------
+    completions : int
+        How many times the request completed after crashes.
     crash_ids : frozenset of int
-        At most ``CRASH_LIMIT`` incarnations of upstreams that ended.
-    is_cleared : bool
-        Whether the request completed after the first of them.
+        At most ``CRASH_LIMIT`` incarnations of upstreams that ended after
+        the last of these completions.
     crashed_at : float
         Time of the last known crash on trio's clock.
     """
 
+    completions: int
     crash_ids: frozenset
-    is_cleared: bool
     crashed_at: float
 
 
 class CrashRecords:
     """The requests that were in flight when upstreams crashed.
 
-    A request that completes anywhere in the fleet ends no upstreams and is
-    never refused, so requests beside a harmful one, and frequent requests
-    with equal content, stay usable.
+    A completion anywhere in the fleet excuses the crashes before it, so
+    requests beside a harmful one, and frequent requests with equal content,
+    stay usable.
 
-    Records only grow until they expire, so tables can be merged in any order.
+    The record with more completions replaces the other one; of two with equal
+    numbers, the crashes add up. So tables can be merged in any order.
 
     Parameters
     ----------
@@ -78,7 +83,7 @@
             self._digest = 0
             for fingerprint, record in self._records_by_fingerprint.items():
                 crash_ids = sorted(record.crash_ids)
-                content = f"{fingerprint} {crash_ids} {record.is_cleared}"
+                content = f"{fingerprint} {record.completions} {crash_ids}"
                 self._digest ^= _digest(content.encode(), b"")
         return self._digest
 
@@ -103,7 +108,7 @@
 
     def _crash_count(self, fingerprint):
         record = self._records_by_fingerprint.get(fingerprint)
-        if record is None or record.is_cleared:
+        if record is None:
             return 0
         if record.crashed_at + RECORD_SECONDS <= trio.current_time():
             return 0
@@ -134,8 +139,8 @@
         """Add the crash of an upstream with requests in flight.
 
         Only those that were in flight at most crashes before are blamed, as
-        one request ends an upstream. Requests that completed shortly before
-        are not.
+        one request ends an upstream. Requests that completed just before are
+        not.
 
         Parameters
         ----------
@@ -152,7 +157,9 @@
         counts_by_fingerprint = {
             fingerprint: self.crash_count(fingerprint)
             for fingerprint in fingerprints
-            if not self._has_succeeded(fingerprint, now)
+            if not self._has_succeeded_since(
+                fingerprint, now - COINCIDENCE_SECONDS
+            )
         }
         highest = max(counts_by_fingerprint.values(), default=0)
         blamed = tuple(
@@ -161,7 +168,12 @@
             if count == highest
         )
         for fingerprint in blamed:
-            self._add(fingerprint, frozenset((crash_id,)), False, now)
+            self._add(
+                fingerprint,
+                self._completions(fingerprint),
+                frozenset((crash_id,)),
+                now,
+            )
         return blamed
 
     def on_success(self, *fingerprints):
@@ -181,9 +193,23 @@
         succeeded.move_to_end(fingerprint)
         if len(succeeded) > MAXIMUM_SUCCESSES:
             succeeded.popitem(last=False)
-        if fingerprint not in self._records_by_fingerprint:
+        return self._clear(fingerprint)
+
+    def _clear(self, fingerprint):
+        """Excuse the crashes of a request; return whether there were any."""
+        record = self._records_by_fingerprint.get(fingerprint)
+        if record is None or not record.crash_ids:
             return False
-        return self._add(fingerprint, frozenset(), True, now)
+        return self._add(
+            fingerprint,
+            record.completions + 1,
+            frozenset(),
+            record.crashed_at,
+        )
+
+    def _completions(self, fingerprint):
+        record = self._records_by_fingerprint.get(fingerprint)
+        return 0 if record is None else record.completions
 
     def merge(self, records):
         """Add the records of another node.
@@ -201,15 +227,26 @@
         news = set()
         for record in records:
             age_seconds = max(0.0, record.age_ms / 1000)
-            if not age_seconds < RECORD_SECONDS:
+            if (
+                not age_seconds < RECORD_SECONDS
+                or not 0 <= record.completions <= MAXIMUM_COMPLETIONS
+            ):
                 continue
-            if self._add(
-                record.fingerprint,
-                frozenset(record.crash_ids[:CRASH_LIMIT]),
-                record.is_cleared
-                or self._has_succeeded(record.fingerprint, now),
-                now - age_seconds,
+            completions = record.completions
+            crash_ids = frozenset(record.crash_ids[:CRASH_LIMIT])
+            if record.is_cleared and crash_ids:
+                # From a build that does not count completions.
+                completions += 1
+                crash_ids = frozenset()
+            crashed_at = now - age_seconds
+            is_news = self._add(
+                record.fingerprint, completions, crash_ids, crashed_at
+            )
+            if self._has_succeeded_since(
+                record.fingerprint, crashed_at - COINCIDENCE_SECONDS
             ):
+                is_news |= self._clear(record.fingerprint)
+            if is_news:
                 news.add(record.fingerprint)
         return news
 
@@ -221,30 +258,35 @@
             link.CrashRecord(
                 fingerprint=fingerprint,
                 crash_ids=tuple(sorted(record.crash_ids)),
-                is_cleared=record.is_cleared,
+                is_cleared=not record.crash_ids,
                 age_ms=(now - record.crashed_at) * 1000,
+                completions=record.completions,
             )
             for fingerprint, record in self._records_by_fingerprint.items()
             if fingerprints is None or fingerprint in fingerprints
         )
 
-    def _has_succeeded(self, fingerprint, now):
+    def _has_succeeded_since(self, fingerprint, since):
         at = self._succeeded_at_by_fingerprint.get(fingerprint)
-        return at is not None and now - at < SUCCESS_SECONDS
+        return at is not None and at >= since
 
-    def _add(self, fingerprint, crash_ids, is_cleared, crashed_at):
+    def _add(self, fingerprint, completions, crash_ids, crashed_at):
         """Merge into the record of a request; return whether it changed."""
         known = self._records_by_fingerprint.get(fingerprint)
         if known is not None:
-            crash_ids = frozenset(
-                sorted(known.crash_ids | crash_ids)[:CRASH_LIMIT]
-            )
-            is_cleared |= known.is_cleared
-            if (crash_ids, is_cleared) == (known.crash_ids, known.is_cleared):
+            if completions < known.completions:
                 return False
+            if completions == known.completions:
+                crash_ids = frozenset(
+                    sorted(known.crash_ids | crash_ids)[:CRASH_LIMIT]
+                )
+                if crash_ids == known.crash_ids:
+                    return False
             crashed_at = max(crashed_at, known.crashed_at)
         self._records_by_fingerprint[fingerprint] = _Record(
-            crash_ids=crash_ids, is_cleared=is_cleared, crashed_at=crashed_at
+            completions=completions,
+            crash_ids=crash_ids,
+            crashed_at=crashed_at,
         )
         self._digest = None
         now = trio.current_time()
@@ -258,7 +300,7 @@
                 "crash_record_dropped",
                 chosen=f"{dropped_fingerprint:x}",
                 crashes=len(dropped.crash_ids),
-                is_cleared=dropped.is_cleared,
+                completions=dropped.completions,
                 age_s=round(now - dropped.crashed_at, 1),
             )
         return True
--- a/tests/traffic/test_crash_records.py
+++ b/tests/traffic/test_crash_records.py
@@ -214,6 +214,81 @@
     assert first.is_barred(HARMFUL) and second.is_barred(HARMFUL)
 
 
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
+@hypothesis.given(
+    steps=strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(["crash", "success", "exchange"]),
+            strategies.integers(0, 2),
+            strategies.integers(0, 2),
+            strategies.integers(0, 5),
+        ),
+        max_size=30,
+    )
+)
+def test_tables_agree_after_any_order_of_exchanges(steps):
+    """Guards against nodes that never agree on which requests to refuse."""
+
+    async def run():
+        tables = [crash_records.CrashRecords() for _ in range(3)]
+        for kind, first, second, number in steps:
+            if kind == "crash":
+                tables[first].on_crash([number], 10 * first + second)
+            elif kind == "success":
+                tables[first].on_success(number)
+            else:
+                tables[first].merge(tables[second].export())
+        for _ in range(2):
+            _exchange(*tables)
+        assert len({table.digest for table in tables}) == 1
+
+    trio.run(run)
+
+
+async def test_an_older_build_clears_and_blames_as_far_as_it_can():
+    """Guards against records that builds without ``completions`` garble."""
+    records = crash_records.CrashRecords()
+
+    def merge(crash_ids, *, is_cleared):
+        records.merge(
+            [
+                link.CrashRecord(
+                    fingerprint=HARMFUL,
+                    crash_ids=crash_ids,
+                    is_cleared=is_cleared,
+                    age_ms=0.0,
+                )
+            ]
+        )
+
+    merge((1, 2, 3), is_cleared=False)
+    assert records.is_barred(HARMFUL)
+    merge((1, 2, 3), is_cleared=True)
+    assert not records.is_barred(HARMFUL)
+    (exported,) = records.export()
+    assert exported.is_cleared and not exported.crash_ids
+
+
+@pytest.mark.parametrize("completions", [-1, 2**40])
+async def test_a_record_with_an_odd_number_of_completions_is_ignored(
+    completions,
+):
+    """Guards against a peer's record that no other one can replace."""
+    records = crash_records.CrashRecords()
+    records.merge(
+        [
+            link.CrashRecord(
+                fingerprint=HARMFUL,
+                crash_ids=(1,),
+                is_cleared=False,
+                age_ms=0.0,
+                completions=completions,
+            )
+        ]
+    )
+    assert not len(records)
+
+
 def _make_fingerprints(**changed):
     request = {
         "method": "GET",
