Keep the evidence of a crash until the upstream shows that it lives

Cause: a lost connection counted for 2 s from the first one lost. A reset, which a full upstream sends often, started that time, and a crash at its end was put down to nobody if the health check that showed it came after. Change: requests without an answer are kept without a time limit, until an answer to a later request or a health check that began later names the same upstream. A request that is answered after all is no candidate.

--- a/shallotbridge/traffic/crash_attribution.py
+++ b/shallotbridge/traffic/crash_attribution.py
@@ -1,5 +1,7 @@
 """Which requests were in flight at an upstream when it ended."""
 
+import collections
+import dataclasses
 import math
 
 import trio
@@ -7,18 +9,45 @@
 from ..core import decisions
 from . import crash_records
 
-# A lost connection is put down to a crash if a health check shows the crash
-# within this time.
-CRASH_CONFIRMATION_SECONDS = 2.0
+# Number of requests without an answer that are kept.
+MAXIMUM_UNANSWERED = 256
 # Rate limit of the log.
 LINES_PER_SECOND = 5
 # Number of fingerprints in a line of the log.
 MAXIMUM_LOGGED_FINGERPRINTS = 20
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _SentRequest:
+    """A request at the upstream.
+
+    Attributes
+    ----------
+    fingerprints : tuple of int
+        Empty if it is not to be blamed for a further crash.
+    sent_at : float
+        On trio's clock.
+    """
+
+    fingerprints: tuple
+    sent_at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _UnansweredRequest:
+    """A request whose connection ended before its answer."""
+
+    fingerprints: tuple
+    ended_at: float
+
+
 class CrashAttribution:
     """Puts a crash of an upstream down to the requests in flight.
 
+    These are the requests without an answer since the upstream was last known
+    to be alive. No time limit applies: a health check may show the crash long
+    after the connections were lost.
+
     Parameters
     ----------
     known_crashes : crash_records.CrashRecords
@@ -35,39 +64,58 @@
         self._log = decisions.RateLimitedLog(
             rate=LINES_PER_SECOND, record=record
         )
-        # Fingerprints of the requests at the upstream, by ticket.
-        self._fingerprints_by_ticket = {}
-        # Requests in flight at lost connections, until a health check tells
-        # whether the upstream has crashed.
-        self._candidates = set()
-        self._candidates_since = -math.inf
+        self._sent_by_ticket = {}
+        self._unanswered = collections.deque(maxlen=MAXIMUM_UNANSWERED)
+        self._alive_at = -math.inf
 
     def on_sent(self, ticket, fingerprints):
         """Note that a request is sent to the upstream."""
-        self._fingerprints_by_ticket[ticket] = fingerprints
+        self._sent_by_ticket[ticket] = _SentRequest(
+            fingerprints=fingerprints, sent_at=trio.current_time()
+        )
+
+    def on_answered(self, ticket):
+        """Note that a request has its answer."""
+        sent = self._sent_by_ticket.pop(ticket)
+        self._alive_at = max(self._alive_at, sent.sent_at)
 
     def on_ended(self, ticket):
-        """Note that a request is no longer in flight."""
-        self._fingerprints_by_ticket.pop(ticket, None)
+        """Note that a request is no longer in flight, for another reason."""
+        self._sent_by_ticket.pop(ticket, None)
 
-    def on_connection_lost(self):
+    def on_connection_lost(self, ticket):
         """Note that a connection ended without the answer to its request."""
-        now = trio.current_time()
-        if now - self._candidates_since > CRASH_CONFIRMATION_SECONDS:
-            self._candidates.clear()
-            self._candidates_since = now
-        self._candidates.update(*self._fingerprints_by_ticket.values())
-
-    def on_alive(self, upstream_id):
-        """Note that a health check names the upstream that was known."""
-        if self._candidates:
+        sent = self._sent_by_ticket.pop(ticket)
+        self._unanswered.append(
+            _UnansweredRequest(
+                fingerprints=sent.fingerprints, ended_at=trio.current_time()
+            )
+        )
+
+    def on_alive(self, upstream_id, asked_at):
+        """Note that a health check names the upstream that was known.
+
+        Parameters
+        ----------
+        upstream_id : str
+        asked_at : float
+            Time at which the health check began, on trio's clock. The
+            upstream did not end before.
+        """
+        self._alive_at = max(self._alive_at, asked_at)
+        acquitted = set()
+        while self._unanswered and not self._is_candidate(self._unanswered[0]):
+            acquitted.update(self._unanswered.popleft().fingerprints)
+        if acquitted:
             self._ignore(
-                self._candidates,
+                acquitted,
                 upstream_id,
                 "connections lost",
                 "a health check names the same upstream",
             )
-        self._candidates.clear()
+
+    def _is_candidate(self, unanswered):
+        return unanswered.ended_at >= self._alive_at
 
     def on_crash(self, upstream_id, started_ms, reason, *, is_planned):
         """Blame the requests in flight at a crash of the upstream.
@@ -83,28 +131,41 @@
             Whether the upstream or the node is leaving. Connections that are
             lost then show no crash.
         """
-        candidates, self._candidates = self._candidates, set()
+        candidates = self._take_candidates()
         if not candidates:
             return
-        now = trio.current_time()
-        candidates_seconds = now - self._candidates_since
-        ignored_because = None
-        if candidates_seconds > CRASH_CONFIRMATION_SECONDS:
-            ignored_because = (
-                f"the first connection was lost {candidates_seconds:.3f} s ago"
-            )
-        elif upstream_id is None:
-            ignored_because = "no upstream is registered"
+        if upstream_id is None:
+            self._ignore(candidates, None, reason, "no upstream is registered")
         elif is_planned:
-            ignored_because = "the upstream or the node is leaving"
-        if ignored_because is not None:
-            self._ignore(candidates, upstream_id, reason, ignored_because)
-            return
+            self._ignore(
+                candidates,
+                upstream_id,
+                reason,
+                "the upstream or the node is leaving",
+            )
+        else:
+            self._blame(candidates, upstream_id, started_ms, reason)
+
+    def _take_candidates(self):
+        """Return the requests to blame; no later crash blames them again."""
+        candidates = set()
+        for unanswered in self._unanswered:
+            if self._is_candidate(unanswered):
+                candidates.update(unanswered.fingerprints)
+        self._unanswered.clear()
+        for ticket, sent in self._sent_by_ticket.items():
+            candidates.update(sent.fingerprints)
+            self._sent_by_ticket[ticket] = dataclasses.replace(
+                sent, fingerprints=()
+            )
+        return candidates
+
+    def _blame(self, candidates, upstream_id, started_ms, reason):
         crash_id = crash_records.make_crash_id(upstream_id, started_ms)
         blamed = self._known_crashes.on_crash(candidates, crash_id)
         self._log.record(
             "upstream_crashed",
-            now,
+            trio.current_time(),
             chosen=upstream_id,
             started_ms=started_ms,
             reason=reason,
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -531,6 +531,7 @@
             # A server error may come from an upstream that did not run it.
             if response.status < 500:
                 self._on_request_completed(work, response, fingerprints)
+            self._crash_attribution.on_answered(ticket)
             self._last_answer_at = now = trio.current_time()
             is_completed = True
             self._admission.on_completed(ticket, now)
@@ -547,7 +548,7 @@
                 error, (errors.AnswerMismatchError, errors.AnswerTooLargeError)
             ):
                 # The connection was reset, or closed before the whole answer.
-                self._crash_attribution.on_connection_lost()
+                self._crash_attribution.on_connection_lost(ticket)
                 self._probe_requested.set()
             if error.is_connection_lost:
                 self._on_upstream_failure("connection lost", is_down=False)
@@ -870,15 +871,15 @@
             ):
                 self._on_upstream_down(error.detail)
         else:
-            self._on_health_response(response)
+            self._on_health_response(response, started_at)
             self._on_upstream_up(started_at)
 
-    def _on_health_response(self, response):
+    def _on_health_response(self, response, asked_at):
         """Update the instance id and the cold start from a health check."""
         now = trio.current_time()
         instance_id = response.header(self._header_names.instance)
         if instance_id is not None and instance_id == self._instance_id:
-            self._crash_attribution.on_alive(instance_id)
+            self._crash_attribution.on_alive(instance_id, asked_at)
         if instance_id is not None and instance_id != self._instance_id:
             if self._instance_id is not None:
                 self._on_crash(f"restarted as {instance_id}")
--- a/tests/traffic/test_crash_attribution.py
+++ b/tests/traffic/test_crash_attribution.py
@@ -33,13 +33,12 @@
     its crash comes late.
     """
     attribution.on_sent("reset", (BYSTANDER,))
-    attribution.on_connection_lost()
-    attribution.on_ended("reset")
-    attribution.on_alive("u1")
+    attribution.on_connection_lost("reset")
+    await trio.sleep(0.01)
+    attribution.on_alive("u1", trio.current_time())
     await trio.sleep(1.9)
     attribution.on_sent("harmful", (HARMFUL,))
-    attribution.on_connection_lost()
-    attribution.on_ended("harmful")
+    attribution.on_connection_lost("harmful")
     await trio.sleep(0.5)
     attribution.on_crash("u1", 1, "no listener", is_planned=False)
     assert records.crash_count(HARMFUL) == 1
