Blame a request whose client has left when its upstream ends

Cause: a request was a candidate only while this node waited for its answer. A client that leaves, a deadline or a hedged copy ends the wait; the upstream runs the request on and ends under it. Change: withdrawn requests stay candidates for 1 s past the last sign of life.

--- a/shallotbridge/traffic/crash_attribution.py
+++ b/shallotbridge/traffic/crash_attribution.py
@@ -9,6 +9,9 @@
 from ..core import decisions
 from . import crash_records
 
+# An upstream may run a request on for so long after its connection was closed
+# on this side.
+WITHDRAWN_RUN_SECONDS = 1.0
 # Number of requests without an answer that are kept.
 MAXIMUM_UNANSWERED = 256
 # Rate limit of the log.
@@ -35,10 +38,20 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _UnansweredRequest:
-    """A request whose connection ended before its answer."""
+    """A request whose connection ended before its answer.
+
+    Attributes
+    ----------
+    fingerprints : tuple of int
+    ended_at : float
+        On trio's clock.
+    is_withdrawn : bool
+        Whether this node closed the connection.
+    """
 
     fingerprints: tuple
     ended_at: float
+    is_withdrawn: bool
 
 
 class CrashAttribution:
@@ -79,18 +92,32 @@
         sent = self._sent_by_ticket.pop(ticket)
         self._alive_at = max(self._alive_at, sent.sent_at)
 
-    def on_ended(self, ticket):
-        """Note that a request is no longer in flight, for another reason."""
+    def on_not_run(self, ticket):
+        """Note that a request certainly did not run."""
         self._sent_by_ticket.pop(ticket, None)
 
     def on_connection_lost(self, ticket):
         """Note that a connection ended without the answer to its request."""
-        sent = self._sent_by_ticket.pop(ticket)
-        self._unanswered.append(
-            _UnansweredRequest(
-                fingerprints=sent.fingerprints, ended_at=trio.current_time()
+        self._add_unanswered(ticket, is_withdrawn=False)
+
+    def on_withdrawn(self, ticket):
+        """Note that this node no longer waits for the answer to a request.
+
+        The client has left, the deadline has passed, another answer is used,
+        or the answer is not valid.
+        """
+        self._add_unanswered(ticket, is_withdrawn=True)
+
+    def _add_unanswered(self, ticket, *, is_withdrawn):
+        sent = self._sent_by_ticket.pop(ticket, None)
+        if sent is not None:
+            self._unanswered.append(
+                _UnansweredRequest(
+                    fingerprints=sent.fingerprints,
+                    ended_at=trio.current_time(),
+                    is_withdrawn=is_withdrawn,
+                )
             )
-        )
 
     def on_alive(self, upstream_id, asked_at):
         """Note that a health check names the upstream that was known.
@@ -104,8 +131,14 @@
         """
         self._alive_at = max(self._alive_at, asked_at)
         acquitted = set()
-        while self._unanswered and not self._is_candidate(self._unanswered[0]):
-            acquitted.update(self._unanswered.popleft().fingerprints)
+        candidates = []
+        for unanswered in self._unanswered:
+            if self._is_candidate(unanswered):
+                candidates.append(unanswered)
+            elif not unanswered.is_withdrawn:
+                acquitted.update(unanswered.fingerprints)
+        self._unanswered.clear()
+        self._unanswered.extend(candidates)
         if acquitted:
             self._ignore(
                 acquitted,
@@ -115,7 +148,10 @@
             )
 
     def _is_candidate(self, unanswered):
-        return unanswered.ended_at >= self._alive_at
+        ended_at = unanswered.ended_at
+        if unanswered.is_withdrawn:
+            ended_at += WITHDRAWN_RUN_SECONDS
+        return ended_at >= self._alive_at
 
     def on_crash(self, upstream_id, started_ms, reason, *, is_planned):
         """Blame the requests in flight at a crash of the upstream.
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -537,9 +537,11 @@
             self._admission.on_completed(ticket, now)
             return response
         except errors.UpstreamUnreachableError:
+            self._crash_attribution.on_not_run(ticket)
             self._on_upstream_failure("no connection", is_down=True)
             raise
         except errors.UpstreamRefusedError as error:
+            self._crash_attribution.on_not_run(ticket)
             if error.reason == "421":
                 self._on_upstream_failure("another instance", is_down=False)
             raise
@@ -554,7 +556,7 @@
                 self._on_upstream_failure("connection lost", is_down=False)
             raise
         finally:
-            self._crash_attribution.on_ended(ticket)
+            self._crash_attribution.on_withdrawn(ticket)
             if not is_completed:
                 self._admission.on_aborted(ticket, trio.current_time())
 
--- a/tests/traffic/test_crash_attribution.py
+++ b/tests/traffic/test_crash_attribution.py
@@ -43,3 +43,51 @@
     attribution.on_crash("u1", 1, "no listener", is_planned=False)
     assert records.crash_count(HARMFUL) == 1
     assert records.crash_count(BYSTANDER) == 0
+
+
+async def test_only_a_later_health_check_shows_that_a_loss_was_a_reset(
+    records, attribution, autojump_clock
+):
+    """Guards against a health check that was answered before the crash."""
+    asked_at = trio.current_time()
+    attribution.on_sent("harmful", (HARMFUL,))
+    await trio.sleep(0.1)
+    attribution.on_connection_lost("harmful")
+    attribution.on_alive("u1", asked_at)
+    attribution.on_crash("u1", 1, "no listener", is_planned=False)
+    assert records.crash_count(HARMFUL) == 1
+
+
+async def test_requests_with_an_answer_are_not_blamed(
+    records, attribution, autojump_clock
+):
+    """Guards against bystanders that pay for a crash beside them.
+
+    One has its answer, one did not run, and one was in flight at a crash
+    that other requests were blamed for already.
+    """
+    attribution.on_sent("answered", (2,))
+    attribution.on_sent("refused", (3,))
+    attribution.on_answered("answered")
+    attribution.on_not_run("refused")
+    attribution.on_sent("harmful", (HARMFUL,))
+    attribution.on_sent("beside", (4,))
+    attribution.on_connection_lost("harmful")
+    attribution.on_crash("u1", 1, "no listener", is_planned=False)
+    attribution.on_connection_lost("beside")
+    attribution.on_crash("u1", 1, "no listener", is_planned=False)
+    counts = [records.crash_count(each) for each in (HARMFUL, 2, 3, 4)]
+    assert counts == [1, 0, 0, 1]
+
+
+async def test_a_withdrawn_request_is_blamed_only_while_it_may_run(
+    records, attribution, autojump_clock
+):
+    """Guards against a client that leaves early or long before the crash."""
+    for number, client_leaves_before in ((1, 3.0), (2, 0.2)):
+        attribution.on_sent(number, (number,))
+        attribution.on_withdrawn(number)
+        await trio.sleep(client_leaves_before)
+    attribution.on_alive("u1", trio.current_time())
+    attribution.on_crash("u1", 1, "no listener", is_planned=False)
+    assert [records.crash_count(each) for each in (1, 2)] == [0, 1]
