Blame requests at an upstream that returns under its id

Cause: an upstream may start again under the id that it had. A health check that named it was taken for proof that its connections had only been reset, and the later start in its entry was not compared with the losses. Change: where a newer start replaces an entry that was not leaving, requests lost in the last 5 s are blamed, unless the crash is known. This also covers an entry that arrives before the health check. The stand-in now restarts without closing its listener for it; the first form of the test raced with that.

--- a/shallotbridge/traffic/crash_attribution.py
+++ b/shallotbridge/traffic/crash_attribution.py
@@ -12,6 +12,8 @@
 # An upstream may run a request on for so long after its connection was closed
 # on this side.
 WITHDRAWN_RUN_SECONDS = 1.0
+# An upstream that has started again publishes that within this time.
+RESTART_NOTICE_SECONDS = 5.0
 # Number of requests without an answer that are kept.
 MAXIMUM_UNANSWERED = 256
 # Rate limit of the log.
@@ -80,6 +82,8 @@
         self._sent_by_ticket = {}
         self._unanswered = collections.deque(maxlen=MAXIMUM_UNANSWERED)
         self._alive_at = -math.inf
+        # Id and start of the upstream whose crash is known.
+        self._crashed = None
 
     def on_sent(self, ticket, fingerprints):
         """Note that a request is sent to the upstream."""
@@ -129,16 +133,9 @@
             Time at which the health check began, on trio's clock. The
             upstream did not end before.
         """
+        before = self._lost_fingerprints()
         self._alive_at = max(self._alive_at, asked_at)
-        acquitted = set()
-        candidates = []
-        for unanswered in self._unanswered:
-            if self._is_candidate(unanswered):
-                candidates.append(unanswered)
-            elif not unanswered.is_withdrawn:
-                acquitted.update(unanswered.fingerprints)
-        self._unanswered.clear()
-        self._unanswered.extend(candidates)
+        acquitted = before - self._lost_fingerprints()
         if acquitted:
             self._ignore(
                 acquitted,
@@ -147,6 +144,14 @@
                 "a health check names the same upstream",
             )
 
+    def _lost_fingerprints(self):
+        return {
+            fingerprint
+            for unanswered in self._unanswered
+            if not unanswered.is_withdrawn and self._is_candidate(unanswered)
+            for fingerprint in unanswered.fingerprints
+        }
+
     def _is_candidate(self, unanswered):
         ended_at = unanswered.ended_at
         if unanswered.is_withdrawn:
@@ -168,6 +173,7 @@
             lost then show no crash.
         """
         candidates = self._take_candidates()
+        self._crashed = (upstream_id, started_ms)
         if not candidates:
             return
         if upstream_id is None:
@@ -182,6 +188,26 @@
         else:
             self._blame(candidates, upstream_id, started_ms, reason)
 
+    def on_replaced(self, upstream_id, started_ms):
+        """Blame the requests at an upstream that was replaced without notice.
+
+        Its successor is registered at the same address. It may have the same
+        id, so a health check may have taken it for the upstream that ended.
+        """
+        if self._crashed == (upstream_id, started_ms):
+            return
+        lost_since = trio.current_time() - RESTART_NOTICE_SECONDS
+        candidates = set()
+        for unanswered in self._unanswered:
+            if (
+                not unanswered.is_withdrawn
+                and unanswered.ended_at >= lost_since
+            ):
+                candidates.update(unanswered.fingerprints)
+        self._unanswered.clear()
+        if candidates:
+            self._blame(candidates, upstream_id, started_ms, "replaced")
+
     def _take_candidates(self):
         """Return the requests to blame; no later crash blames them again."""
         candidates = set()
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -206,6 +206,10 @@
                     cold_s=registered.cold_seconds,
                     slots=registered.slots,
                 )
+                if previous is not None and not previous.is_draining:
+                    self._crash_attribution.on_replaced(
+                        previous.upstream_id, previous.started_ms
+                    )
                 self._instance_id = None
                 self._registered_at = now
                 before = previous or self._removed
--- a/standins/store.py
+++ b/standins/store.py
@@ -227,7 +227,8 @@
         Whether its connections stay open without answers after a crash,
         until it starts again.
     down_seconds : float
-        Time from a crash until it accepts connections again.
+        Time from a crash until it accepts connections again. With 0, it is
+        back before anything but the connection of the request has ended.
     """
 
     def __init__(self, instance_id, *, seconds=0.01):
@@ -281,7 +282,9 @@
         if request.target.partition("?")[0] == self.crashing_path:
             await trio.sleep(self.seconds)
             self.crash()
-            await trio.sleep_forever()
+            if self.crashed.is_set():
+                await trio.sleep_forever()
+            return b""
         if self.cut_response is not None:
             return self.cut_response
         await trio.sleep(self.seconds)
@@ -299,7 +302,8 @@
     def crash(self):
         """End all connections, or stop answering, and start again later."""
         self.crash_count += 1
-        self.crashed.set()
+        if self.down_seconds:
+            self.crashed.set()
 
 
 async def serve_upstream(
--- a/tests/traffic/test_crash_attribution.py
+++ b/tests/traffic/test_crash_attribution.py
@@ -91,3 +91,30 @@
     attribution.on_alive("u1", trio.current_time())
     attribution.on_crash("u1", 1, "no listener", is_planned=False)
     assert [records.crash_count(each) for each in (1, 2)] == [0, 1]
+
+
+@pytest.mark.parametrize("is_known", [False, True])
+async def test_a_replaced_upstream_counts_once(
+    records, attribution, autojump_clock, is_known
+):
+    """Guards against a crash that counts twice, or not at all.
+
+    A health check may show it before its successor is registered. Losses
+    long before the successor is registered were resets.
+    """
+    attribution.on_sent("reset", (BYSTANDER,))
+    attribution.on_connection_lost("reset")
+    await trio.sleep(crash_attribution.RESTART_NOTICE_SECONDS)
+    attribution.on_alive("u1", trio.current_time())
+    await trio.sleep(0.1)
+    attribution.on_sent("harmful", (HARMFUL,))
+    attribution.on_connection_lost("harmful")
+    if is_known:
+        attribution.on_crash("u1", 1, "no listener", is_planned=False)
+        attribution.on_sent("next", (BYSTANDER,))
+        attribution.on_connection_lost("next")
+    else:
+        attribution.on_alive("u1", trio.current_time() + 0.1)
+    attribution.on_replaced("u1", 1)
+    assert records.crash_count(HARMFUL) == 1
+    assert records.crash_count(BYSTANDER) == 0
