Let upstreams of the stand-ins end under several paths

Cause: tests of several harmful requests at once need more than one path. Change: stand-in and its users only.

--- a/standins/store.py
+++ b/standins/store.py
@@ -219,8 +219,8 @@
         Number of further requests that it refuses.
     cut_response : bytes or None
         If set, sent in place of each answer before the connection is closed.
-    crashing_path : str or None
-        Path of the requests that end it; see ``serve_upstream``.
+    crashing_paths : frozenset of str
+        Paths of the requests that end it; see ``serve_upstream``.
     crash_count : int
         Number of times that it has ended.
     crashes_silently : bool
@@ -240,7 +240,7 @@
         self.leaving = None
         self.refusals_left = 0
         self.cut_response = None
-        self.crashing_path = None
+        self.crashing_paths = frozenset()
         self.crash_count = 0
         self.crashes_silently = False
         self.down_seconds = 1.0
@@ -279,7 +279,7 @@
             self.refusals_left -= 1
             return make_refusal(request)
         self.requests.append(request)
-        if request.target.partition("?")[0] == self.crashing_path:
+        if request.target.partition("?")[0] in self.crashing_paths:
             await trio.sleep(self.seconds)
             self.crash()
             if self.crashed.is_set():
--- a/tests/runtime/test_crashing_requests.py
+++ b/tests/runtime/test_crashing_requests.py
@@ -44,7 +44,7 @@
         ``make_options(number)`` returns options of the request.
     """
     for upstream in mesh.upstreams:
-        upstream.crashing_path = HARMFUL_PATH
+        upstream.crashing_paths = {HARMFUL_PATH}
     with trio.fail_after(20):
         for number in itertools.count():
             if _crash_count(mesh) >= count:
@@ -245,7 +245,7 @@
     """
     async with loopback.start_mesh(2) as mesh:
         for upstream in mesh.upstreams:
-            upstream.crashing_path = HARMFUL_PATH
+            upstream.crashing_paths = {HARMFUL_PATH}
             upstream.seconds = 0.15
         with trio.fail_after(10):
             for number in itertools.count():
