Soak: series of harmful requests, from many clients and at two services

Cause: the soak sent one harmful request by one client each 0.3 s, always with the same path, to one service, and ended upstreams in one way. Change: several clients with another query each time, from hosts of one service to either of two; series overlap and come again; upstreams fall silent or come back under their id; the end of the own upstream excuses no host.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -20,7 +20,13 @@
 # Pause between two probes of the active configuration version.
 PROBE_INTERVAL_SECONDS = 0.25
 RECONNECT_DELAY_SECONDS = 0.1
-HARMFUL_INTERVAL_SECONDS = 0.3
+# Each request of this number is for the other service.
+OTHER_SERVICE_REQUESTS = 10
+# Clients that repeat a harmful request, and their pause between two.
+MAXIMUM_HARMFUL_CLIENTS = 6
+HARMFUL_INTERVAL_SECONDS = (0.02, 0.3)
+# Few numbers, so that some series repeat the request of an earlier one.
+HARMFUL_NUMBERS = 3
 # Number of requests after which a caller opens a new connection.
 REQUESTS_PER_CONNECTION = 60
 _request_numbers = itertools.count(1)
@@ -69,6 +75,8 @@
         )
         fleet.records.calls.append(call)
         method, path = ("GET", "browse") if is_idempotent else ("POST", "hold")
+        if number % OTHER_SERVICE_REQUESTS == 0:
+            path = "order"
         response = await _exchange(
             stream, reader, method, f"/{path}/1", call.request_id
         )
@@ -106,30 +114,49 @@
     return None
 
 
-async def repeat_harmful_request(fleet, seconds):
-    """Send a request that ends upstreams again and again, to any node."""
+async def repeat_harmful_request(fleet, service, seconds):
+    """Send a request that ends upstreams again and again, from one service.
+
+    Several clients send it at once, to any host of the service and with
+    another query each time.
+    """
+    random_source = fleet.random
+    route = random_source.choice(("browse", "order"))
+    number = random_source.randrange(HARMFUL_NUMBERS)
+    path = f"/{route}/{fleet_module.HARMFUL_PREFIX}{number}"
+    clients = random_source.randint(1, MAXIMUM_HARMFUL_CLIENTS)
     with trio.move_on_after(seconds):
-        while True:
-            host = fleet.random.choice(fleet.hosts)
-            stream = await _connect(host)
-            call = records.Call(
-                request_id=f"h{next(_request_numbers)}",
-                host=host.number,
-                is_idempotent=True,
-                sent_at=fleet.clock(),
-            )
-            fleet.records.harmful_calls_by_id[call.request_id] = call
-            try:
-                await _exchange(
-                    stream,
-                    http1.ResponseReader(stream=stream),
-                    "GET",
-                    fleet_module.HARMFUL_TARGET,
-                    call.request_id,
+        async with trio.open_nursery() as nursery:
+            for _ in range(clients):
+                nursery.start_soon(
+                    _repeat_harmful_request, fleet, service, path
                 )
-            finally:
-                stream.close()
-            await trio.sleep(HARMFUL_INTERVAL_SECONDS)
+
+
+async def _repeat_harmful_request(fleet, service, path):
+    hosts = [host for host in fleet.hosts if host.service == service]
+    while True:
+        host = fleet.random.choice(hosts)
+        stream = await _connect(host)
+        request_id = f"h{next(_request_numbers)}"
+        fleet.records.harmful_identities_by_id[request_id] = (path, service)
+        fleet.records.harmful_calls_by_id[request_id] = records.Call(
+            request_id=request_id,
+            host=host.number,
+            is_idempotent=True,
+            sent_at=fleet.clock(),
+        )
+        try:
+            await _exchange(
+                stream,
+                http1.ResponseReader(stream=stream),
+                "GET",
+                f"{path}?number={request_id}",
+                request_id,
+            )
+        finally:
+            stream.close()
+        await trio.sleep(fleet.random.uniform(*HARMFUL_INTERVAL_SECONDS))
 
 
 async def _probe_versions(fleet, host):
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -156,26 +156,36 @@
     for call in records.calls:
         if call.status == 429:
             yield f"{call.request_id}: refused as if it ended upstreams"
-    if len(records.crashed_at) < HARMFUL_CRASHES or records.older_upstream_ids:
+    if records.older_upstream_ids:
         return
-    known_at = records.crashed_at[HARMFUL_CRASHES - 1] + RECOVERY_LIMIT_SECONDS
+    for identity, crashed_at in records.crashed_at_by_identity.items():
+        if len(crashed_at) >= HARMFUL_CRASHES:
+            yield from _find_late_harmful_runs(
+                records, identity, crashed_at[HARMFUL_CRASHES - 1]
+            )
+
+
+def _find_late_harmful_runs(records, identity, third_crash_at):
     late_runs = []
     for run in records.runs:
-        call = records.harmful_calls_by_id.get(run.request_id)
-        if (
-            call is not None
-            and run.at > known_at
-            and records.has_no_faults(
-                call.host, call.sent_at - RECOVERY_LIMIT_SECONDS, run.at
+        if records.harmful_identities_by_id.get(run.request_id) != identity:
+            continue
+        call = records.harmful_calls_by_id[run.request_id]
+        if run.at > third_crash_at + RECOVERY_LIMIT_SECONDS and (
+            records.has_no_faults(
+                call.host,
+                call.sent_at - RECOVERY_LIMIT_SECONDS,
+                run.at,
+                except_kind="crash",
             )
         ):
             late_runs.append(run)
     if len(late_runs) > HARMFUL_RUNS_ALLOWED:
+        path, service = identity
         yield (
-            f"{len(late_runs)} runs of a request that had ended "
-            f"{HARMFUL_CRASHES} upstreams at "
-            f"{known_at - RECOVERY_LIMIT_SECONDS:.2f}, the last at "
-            f"{late_runs[-1].at:.2f}"
+            f"{len(late_runs)} late runs of {path} from {service}, which had "
+            f"ended {HARMFUL_CRASHES} upstreams at {third_crash_at:.2f}, the "
+            f"last at {late_runs[-1].at:.2f}"
         )
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -21,13 +21,20 @@
 STORE_PORT = 7500
 HOST_NAME = "shop.example"
 SERVICE = "shop"
+# One of so many hosts has an upstream of the other service.
+OTHER_SERVICE = "lab"
+OTHER_SERVICE_INTERVAL = 3
 SLOTS = 6
 RESTART_DELAY_SECONDS = 0.3
 # Time from the announcement of a drain to the replacement of the upstream.
 REPLACEMENT_DELAY_SECONDS = 2.5
-# An upstream that ended is back after this time.
-CRASH_SECONDS = 1.0
-HARMFUL_TARGET = "/browse/harmful"
+# An upstream that ended is back after a time in this range.
+CRASH_SECONDS = (0.2, 2.5)
+SILENT_CRASH_SECONDS = (1.0, 6.0)
+SILENT_CRASH_RATIO = 0.2
+SAME_ID_RATIO = 0.3
+# Last part of the paths of the requests that end upstreams.
+HARMFUL_PREFIX = "harmful"
 # Longest time from the first answer that says that an upstream is leaving to
 # the platform's news of it.
 MAXIMUM_ANNOUNCEMENT_DELAY_SECONDS = 1.5
@@ -69,6 +76,8 @@
     crashes_silently : bool
     down_seconds : float
         How the upstream ends; see ``standins.store.UpstreamState``.
+    start_number : int
+        Number of starts of the upstream, also under the same id.
     limit : float or None
         Requests per second that the upstream names in its answers.
     is_leaving : bool
@@ -77,7 +86,7 @@
         Whether the node is of an older build.
     """
 
-    def __init__(self, *, number, prefix, domain):
+    def __init__(self, *, number, prefix, domain, service):
         self.number = number
         self.domain = domain
         self.node_address = f"{prefix}.1.{number + 1}"
@@ -86,11 +95,13 @@
         self.store_address = f"{prefix}.3.{number + 1}"
         self.name = f"host-{number}"
         self.incarnation = 0
+        self.service = service
         self.upstream_number = 0
+        self.start_number = 0
         self.report_number = 0
         self.crashed = trio.Event()
         self.crashes_silently = False
-        self.down_seconds = CRASH_SECONDS
+        self.down_seconds = 0.0
         self.limit = None
         self.is_leaving = False
         self.is_older = False
@@ -134,7 +145,14 @@
         prefix = processes.find_free_network()
         self.hosts = [
             Host(
-                number=number, prefix=prefix, domain=f"d{number % domains + 1}"
+                number=number,
+                prefix=prefix,
+                domain=f"d{number % domains + 1}",
+                service=(
+                    OTHER_SERVICE
+                    if number >= hosts - hosts // OTHER_SERVICE_INTERVAL
+                    else SERVICE
+                ),
             )
             for number in range(hosts)
         ]
@@ -186,7 +204,7 @@
                 public=host.public_address,
                 domain=host.domain,
                 store=host.store_address,
-                service=SERVICE,
+                service=host.service,
                 upstream_port=UPSTREAM_PORT,
                 peer_port=PEER_PORT,
                 caller_port=CALLER_PORT,
@@ -241,7 +259,11 @@
         self.version += self._random.randint(1, 3)
         published = self.records.published_at_by_version
         published[self.version] = self.clock()
-        rules = [_rule("browse", "idempotent"), _rule("hold", "unsafe")]
+        rules = [
+            _rule("browse", "idempotent"),
+            _rule("hold", "unsafe"),
+            _rule("order", "idempotent", service=OTHER_SERVICE),
+        ]
         rules.extend(
             _rule(f"v{version}", "idempotent") for version in published
         )
@@ -258,12 +280,13 @@
                 "listeners": [{"host": HOST_NAME, "rules": rules}],
                 "clusters": [
                     {
-                        "name": SERVICE,
+                        "name": service,
                         "health_check_path": "/health",
                         "max_connections": 110,
                         "cold_start": "0s",
                         "cold_per_s": 100.0,
                     }
+                    for service in (SERVICE, OTHER_SERVICE)
                 ],
             },
         )
@@ -279,7 +302,7 @@
             {
                 "address": f"{host.public_address}:{UPSTREAM_PORT}",
                 "information": {
-                    "service": SERVICE,
+                    "service": host.service,
                     "version": "v1",
                     "zone": host.domain,
                     "slots": SLOTS,
@@ -289,7 +312,7 @@
                     "sequence": host.report_number,
                     "cold_remaining": "0ms",
                 },
-                "born": 1_700_000_000_000 + host.upstream_number,
+                "born": 1_700_000_000_000 + host.start_number,
             },
         )
 
@@ -310,29 +333,40 @@
         await trio.sleep(REPLACEMENT_DELAY_SECONDS)
         self.store.delete(f"servers/{leaving}")
         host.upstream_number += 1
+        host.start_number += 1
         host.is_leaving = False
         host.limit = None
         self.register(host)
 
-    async def _replace_crashed(self, host):
+    async def _replace_crashed(self, host, identity):
         """End a host's upstream; another one starts later."""
         if host.crashed.is_set() or host.is_leaving:
             return
         crashed_id = host.upstream_id
+        random_source = self._random
+        host.crashes_silently = random_source.random() < SILENT_CRASH_RATIO
+        host.down_seconds = random_source.uniform(
+            *SILENT_CRASH_SECONDS if host.crashes_silently else CRASH_SECONDS
+        )
+        keeps_id = host.limit is None and (
+            random_source.random() < SAME_ID_RATIO
+        )
         host.crashed.set()
         began = self.clock()
-        self.records.crashed_at.append(began)
-        await trio.sleep(CRASH_SECONDS)
+        self.records.crashed_at_by_identity[identity].append(began)
+        await trio.sleep(host.down_seconds)
         self.records.faults.append(("crash", host.number, began, self.clock()))
         if host.upstream_id == crashed_id:
-            self.store.delete(f"servers/{crashed_id}")
-            host.upstream_number += 1
+            host.start_number += 1
+            if not keeps_id:
+                self.store.delete(f"servers/{crashed_id}")
+                host.upstream_number += 1
             host.limit = None
             self.register(host)
 
     async def name_limit(self, host, seconds):
         """Let a host's upstream name a limit in its answers for a time."""
-        if host.limit is not None:
+        if host.limit is not None or host.crashed.is_set():
             return
         upstream_id = host.upstream_id
         limit = self._random.choice(LIMITS_PER_SECOND)
@@ -357,6 +391,8 @@
     # Upstreams.
 
     async def _respond(self, host, request):
+        if host.crashed.is_set():
+            await trio.sleep_forever()
         own = model.Header(name="instance-id", value=host.upstream_id)
         if request.target == "/health":
             return model.Response(
@@ -369,9 +405,10 @@
         upstream_id = host.upstream_id
         self.records.add_run(request_id, upstream_id, self.clock())
         await trio.sleep(self._random.uniform(0.005, 0.06))
-        if request.target == HARMFUL_TARGET and not host.is_leaving:
-            self._nursery.start_soon(self._replace_crashed, host)
-            return b""
+        identity = self.records.harmful_identities_by_id.get(request_id)
+        if identity is not None and not host.is_leaving:
+            self._nursery.start_soon(self._replace_crashed, host, identity)
+            await trio.sleep_forever()
         if host.is_leaving and host.upstream_id == upstream_id:
             self.records.said_leaving_at_by_id.setdefault(
                 upstream_id, self.clock()
@@ -404,7 +441,7 @@
     return request_id.encode() * 40
 
 
-def _rule(name, kind):
+def _rule(name, kind, *, service=SERVICE):
     return {
         "name": name,
         "kind": "idempotent" if kind == "idempotent" else "non_idempotent",
@@ -412,7 +449,7 @@
         "priority": 1,
         "match": {"path_prefix": f"/{name}/"},
         "action": {
-            "service": SERVICE,
+            "service": service,
             "timeout": "1200ms",
             "max_attempts": 2,
         },
--- a/soak/records.py
+++ b/soak/records.py
@@ -1,5 +1,6 @@
 """Records of requests, runs on upstreams and injected faults."""
 
+import collections
 import dataclasses
 import math
 
@@ -71,10 +72,11 @@
         # Failure domains out of service, as tuples of (domain, start, end).
         self.domains_out = []
         self.domain_by_upstream = {}
-        # Attempts of the request that ends upstreams, and the times at which
-        # it ended one.
+        # Attempts of requests that end upstreams, and by path and service of
+        # the caller the times at which such a request ended one.
         self.harmful_calls_by_id = {}
-        self.crashed_at = []
+        self.harmful_identities_by_id = {}
+        self.crashed_at_by_identity = collections.defaultdict(list)
         # Ids of requests that probe the active version.
         self.probe_request_ids = set()
         # Upstreams beside nodes of an older build, which ignore what an
@@ -87,14 +89,14 @@
             Run(request_id=request_id, upstream_id=upstream_id, at=at)
         )
 
-    def has_no_faults(self, host, start, end):
+    def has_no_faults(self, host, start, end, *, except_kind=None):
         """Return whether no fault affected a host within an interval.
 
         With None as host, a fault on any host counts.
         """
         return not any(
-            began <= end and start <= ended
-            for _, faulted_host, began, ended in self.faults
+            began <= end and start <= ended and kind != except_kind
+            for kind, faulted_host, began, ended in self.faults
             if faulted_host is None or host is None or faulted_host == host
         )
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -189,7 +189,7 @@
 
 
 async def _send_harmful_requests(fleet, host, seconds):
-    await callers.repeat_harmful_request(fleet, seconds)
+    await callers.repeat_harmful_request(fleet, host.service, seconds)
 
 
 async def _kill(fleet, host, seconds):
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -155,13 +155,17 @@
 def test_runs_of_a_request_that_ended_upstreams_are_violations():
     """Guards against a check that misses a request that takes all down."""
     run_records = _records(_call())
-    run_records.crashed_at = [5.0, 6.0, 7.0]
+    identity = ("/browse/harmful", "shop")
+    run_records.crashed_at_by_identity[identity].extend([5.0, 6.0, 7.0])
+    # The end of the own upstream excuses no host.
+    run_records.faults.append(("crash", 0, 7.0, 12.0))
     for number in range(4):
         call = _call(f"h{number}", sent_at=10.5 + number)
         run_records.harmful_calls_by_id[call.request_id] = call
+        run_records.harmful_identities_by_id[call.request_id] = identity
         run_records.add_run(call.request_id, "u0-0", 10.6 + number)
     assert len(checks.find_violations(run_records)) == 1
-    del run_records.harmful_calls_by_id["h0"], run_records.runs[0]
+    run_records.harmful_identities_by_id["h0"] = ("/browse/other", "shop")
     assert checks.find_violations(run_records) == []
 
 
