Pass on only the crash records that a full table keeps

Cause: a record that a full table dropped at once counted as news and was sent on to all gossip peers, at each exchange again. Change: it is no news. Measured: test_a_record_that_finds_no_room_is_no_news fails without the change, passes with it.

--- a/shallotbridge/traffic/crash_records.py
+++ b/shallotbridge/traffic/crash_records.py
@@ -303,7 +303,7 @@
                 completions=dropped.completions,
                 age_s=round(now - dropped.crashed_at, 1),
             )
-        return True
+        return fingerprint in self._records_by_fingerprint
 
     def _weight(self, fingerprint):
         """Return the order in which records are dropped from a full table.
--- a/tests/traffic/test_crash_records.py
+++ b/tests/traffic/test_crash_records.py
@@ -173,6 +173,15 @@
     assert records.is_barred(HARMFUL)
 
 
+async def test_a_record_that_finds_no_room_is_no_news(autojump_clock):
+    """Guards against nodes with full tables that pass on news endlessly."""
+    other, full = crash_records.CrashRecords(), crash_records.CrashRecords()
+    other.on_crash([HARMFUL], 1)
+    await trio.sleep(1.0)
+    full.on_crash(range(100, 100 + crash_records.MAXIMUM_RECORDS), 2)
+    assert full.merge(other.export()) == set()
+
+
 async def test_a_request_that_completed_before_its_crashes_is_refused(
     autojump_clock,
 ):
