Take no answer that says 'not run' for a completion

Cause: an answer with status 408, 421 or 429 but without the header that says so cleared the crash record of its request. Change: it clears nothing, like a server error. Measured: test_an_error_does_not_clear_a_harmful_request[429] fails without the change, passes with it.

--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -53,6 +53,9 @@
 COLD_MULTIPLIER_FRACTION = 0.95
 COLD_SLACK_FRACTION = 0.5
 
+# Statuses that say that a request was not run, whatever else the answer says.
+_REFUSAL_STATUSES = frozenset({408, 421, 429})
+
 # Used until the configuration is known, and for unknown services.
 _DEFAULT_SERVICE = model.Service(
     name="",
@@ -532,8 +535,10 @@
             request = self._make_request(work, ticket.deadline_at - now)
             self._crash_attribution.on_sent(ticket, fingerprints)
             response = await self._exchange(work, request, ticket)
-            # A server error may come from an upstream that did not run it.
-            if response.status < 500:
+            # Other answers may come from an upstream that did not run it.
+            if response.status < 500 and (
+                response.status not in _REFUSAL_STATUSES
+            ):
                 self._on_request_completed(work, response, fingerprints)
             self._crash_attribution.on_answered(ticket)
             self._last_answer_at = now = trio.current_time()
--- a/tests/runtime/test_crashing_requests.py
+++ b/tests/runtime/test_crashing_requests.py
@@ -128,7 +128,8 @@
             await _check_is_served(mesh, path)
 
 
-async def test_a_server_error_does_not_clear_a_harmful_request():
+@pytest.mark.parametrize(("status", "answered"), [(500, 500), (429, 502)])
+async def test_an_error_does_not_clear_a_harmful_request(status, answered):
     """Guards against a harmful request that an impaired upstream answers."""
     async with loopback.start_mesh(2) as mesh:
         records = mesh.nodes[0]._crash_records
@@ -137,11 +138,11 @@
             node._owner._make_fingerprints = lambda work: (1,)
         for upstream in mesh.upstreams:
             upstream.cut_response = (
-                b"HTTP/1.1 500 Internal Server Error\r\nattempt-id: r\r\n"
-                b"server-signature: s\r\ncontent-length: 0\r\n\r\n"
+                b"HTTP/1.1 %d Error\r\nattempt-id: r\r\n"
+                b"server-signature: s\r\ncontent-length: 0\r\n\r\n" % status
             )
         response = await mesh.send_request(1, "r", **loopback.UNSPLIT_REQUEST)
-        assert response.status == 500
+        assert response.status == answered
         assert records.crash_count(1) == 1
 
 
