Bound the bystanders of a crash under overload

Cause: up to 256 withdrawn requests, each with two fingerprints, were candidates at one crash, more than the table of 250 records holds. A restored, older entry also counted as a restart of the upstream. Change: 64 of them at most; only a later start replaces an upstream. Measured: test_a_crash_under_overload_leaves_room_for_other_records fails with 256.

--- a/shallotbridge/traffic/crash_attribution.py
+++ b/shallotbridge/traffic/crash_attribution.py
@@ -14,8 +14,9 @@
 WITHDRAWN_RUN_SECONDS = 1.0
 # An upstream that has started again publishes that within this time.
 RESTART_NOTICE_SECONDS = 5.0
-# Number of requests without an answer that are kept.
-MAXIMUM_UNANSWERED = 256
+# Number of requests without an answer that are kept: a crash under overload
+# must not fill the table of crash records with bystanders.
+MAXIMUM_UNANSWERED = 64
 # Rate limit of the log.
 LINES_PER_SECOND = 5
 # Number of fingerprints in a line of the log.
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -209,7 +209,11 @@
                     cold_s=registered.cold_seconds,
                     slots=registered.slots,
                 )
-                if previous is not None and not previous.is_draining:
+                if (
+                    previous is not None
+                    and not previous.is_draining
+                    and previous.started_ms < registered.started_ms
+                ):
                     self._crash_attribution.on_replaced(
                         previous.upstream_id, previous.started_ms
                     )
--- a/tests/traffic/test_crash_attribution.py
+++ b/tests/traffic/test_crash_attribution.py
@@ -118,3 +118,17 @@
     attribution.on_replaced("u1", 1)
     assert records.crash_count(HARMFUL) == 1
     assert records.crash_count(BYSTANDER) == 0
+
+
+async def test_a_crash_under_overload_leaves_room_for_other_records(
+    records, attribution, autojump_clock
+):
+    """Guards against a table full of the bystanders of one crash."""
+    for crash_id in range(crash_records.CRASH_LIMIT - 1):
+        records.on_crash([HARMFUL], crash_id)
+    for number in range(2000):
+        attribution.on_sent(number, (10_000 + number, 20_000 + number))
+        attribution.on_withdrawn(number)
+    attribution.on_crash("u1", 1, "no listener", is_planned=False)
+    assert records.crash_count(HARMFUL) == crash_records.CRASH_LIMIT - 1
+    assert len(records) < crash_records.MAXIMUM_RECORDS
