Count each crash of an upstream that ends again under its entry

Cause: the id of a crash was made from the upstream's registered id and start. One that is back under its id and ends again before its new start is published had the same crash id, so two crashes counted as one and the request went on. Found by the test of a node that is cut off (below). Change: the time of the crash, on the clock of the only node that reports it, is part of its id. A verdict leaves no candidates, so a crash still counts once. Tests of nodes that are cut off, of copies in the owner's queue, and of three harmful requests in bursts beside a frequent harmless one.

--- a/shallotbridge/_generated/link.py
+++ b/shallotbridge/_generated/link.py
@@ -161,7 +161,7 @@
 
     # digest of the request
     fingerprint: int
-    # digests of the incarnations that crashed since the last completion
+    # digests of the crashes since the last completion
     crash_ids: tuple[int, ...]
     # the request completed after the last crash
     is_cleared: bool
--- a/shallotbridge/traffic/crash_attribution.py
+++ b/shallotbridge/traffic/crash_attribution.py
@@ -224,11 +224,12 @@
         return candidates
 
     def _blame(self, candidates, upstream_id, started_ms, reason):
-        crash_id = crash_records.make_crash_id(upstream_id, started_ms)
+        now = trio.current_time()
+        crash_id = crash_records.make_crash_id(upstream_id, started_ms, now)
         blamed = self._known_crashes.on_crash(candidates, crash_id)
         self._log.record(
             "upstream_crashed",
-            trio.current_time(),
+            now,
             chosen=upstream_id,
             started_ms=started_ms,
             reason=reason,
--- a/shallotbridge/traffic/crash_records.py
+++ b/shallotbridge/traffic/crash_records.py
@@ -39,8 +39,7 @@
     completions : int
         How many times the request completed after crashes.
     crash_ids : frozenset of int
-        At most ``CRASH_LIMIT`` incarnations of upstreams that ended after
-        the last of these completions.
+        At most ``CRASH_LIMIT`` crashes after the last of these completions.
     crashed_at : float
         Time of the last known crash on trio's clock.
     """
@@ -365,9 +364,20 @@
     return digest, _digest(variant.encode("utf-8", "surrogateescape"), b"")
 
 
-def make_crash_id(upstream_id, started_ms):
-    """Return a digest of an incarnation of an upstream."""
-    return _digest(f"{upstream_id}\n{started_ms}".encode(), b"")
+def make_crash_id(upstream_id, started_ms, crashed_at):
+    """Return a digest of a crash.
+
+    Parameters
+    ----------
+    upstream_id : str
+    started_ms : int
+        As registered. An upstream that is back under its id may end again
+        before its new start is registered.
+    crashed_at : float
+        On the clock of the node beside the upstream, the only one that
+        reports its crashes.
+    """
+    return _digest(f"{upstream_id}\n{started_ms}\n{crashed_at}".encode(), b"")
 
 
 def _digest(head, body):
--- a/tests/runtime/loopback.py
+++ b/tests/runtime/loopback.py
@@ -263,6 +263,11 @@
         self._store_gates[node].close()
         self._peer_gates[node].close()
 
+    def thaw(self, node):
+        """End ``freeze``."""
+        self._store_gates[node].open()
+        self._peer_gates[node].open()
+
     async def send_request(
         self,
         number,
--- a/tests/runtime/test_crashing_requests.py
+++ b/tests/runtime/test_crashing_requests.py
@@ -1,5 +1,6 @@
 """Tests of requests that end the upstreams that run them."""
 
+import collections
 import itertools
 
 import pytest
@@ -35,15 +36,19 @@
     return sum(upstream.crash_count for upstream in mesh.upstreams)
 
 
-async def _send_until_crashes(mesh, count=3, make_options=None):
+async def _send_until_crashes(
+    mesh, count=3, make_options=None, upstreams=None
+):
     """Send the harmful request until it has ended some upstreams.
 
     Parameters
     ----------
+    upstreams : list, optional
+        Those that it ends; all by default.
     make_options : callable, optional
         ``make_options(number)`` returns options of the request.
     """
-    for upstream in mesh.upstreams:
+    for upstream in mesh.upstreams if upstreams is None else upstreams:
         upstream.crashing_paths = {HARMFUL_PATH}
     with trio.fail_after(20):
         for number in itertools.count():
@@ -260,3 +265,58 @@
         await loopback.wait_until(
             lambda: all(len(node._crash_records) for node in mesh.nodes)
         )
+
+
+async def test_a_node_that_was_cut_off_learns_which_requests_are_refused():
+    """Guards against a node that misses the news of crashes for good."""
+    async with loopback.start_mesh(4) as mesh:
+        cut_off = mesh.nodes[3]
+        mesh.freeze(cut_off)
+        await _send_until_crashes(mesh, upstreams=mesh.upstreams[:3])
+        await loopback.wait_until(
+            lambda: all(
+                node._crash_records.barred_count for node in mesh.nodes[:3]
+            )
+        )
+        assert not cut_off._crash_records.barred_count
+        mesh.thaw(cut_off)
+        with trio.fail_after(CONTACT_WINDOW_SECONDS):
+            while not cut_off._crash_records.barred_count:
+                await trio.sleep(0.02)
+
+
+async def test_harmful_requests_in_bursts_are_refused_and_no_others():
+    """Guards against blame that one harmful request takes from another.
+
+    Three come at once at any node, with another query each time, beside a
+    frequent harmless request.
+    """
+    paths = [f"/browse/harmful{number}" for number in range(3)]
+    statuses_by_path = collections.defaultdict(collections.Counter)
+    async with loopback.start_mesh(6) as mesh:
+        for upstream in mesh.upstreams:
+            upstream.crashing_paths = frozenset(paths)
+
+        async def send(path, number):
+            response = await mesh.send_request(
+                number % 6 + 1, f"r{path}{number}", path=f"{path}?{number}"
+            )
+            statuses_by_path[path][response.status] += 1
+
+        async def send_in_bursts(seconds):
+            ends_at = trio.current_time() + seconds
+            async with trio.open_nursery() as nursery:
+                while trio.current_time() < ends_at:
+                    for path in (*paths, "/browse/1"):
+                        nursery.start_soon(send, path, next(numbers))
+                    await trio.sleep(0.05)
+
+        numbers = itertools.count()
+        await send_in_bursts(5.0)
+        sent_before = [_run_count(mesh, path) for path in paths]
+        await send_in_bursts(2.0)
+        sent_after = [_run_count(mesh, path) for path in paths]
+    for path, before, after in zip(paths, sent_before, sent_after):
+        assert after <= before + 3
+        assert statuses_by_path[path][429] > 0
+    assert 429 not in statuses_by_path["/browse/1"]
--- a/tests/traffic/test_crash_attribution.py
+++ b/tests/traffic/test_crash_attribution.py
@@ -93,6 +93,22 @@
     assert [records.crash_count(each) for each in (1, 2)] == [0, 1]
 
 
+async def test_an_upstream_that_ends_again_before_it_is_registered_counts(
+    records, attribution, autojump_clock
+):
+    """Guards against crashes of one entry that count as one.
+
+    The upstream is back under its id; its new start is not published yet.
+    """
+    for crash_count in range(1, crash_records.CRASH_LIMIT + 1):
+        attribution.on_sent("harmful", (HARMFUL,))
+        attribution.on_connection_lost("harmful")
+        attribution.on_crash("u1", 1, "no listener", is_planned=False)
+        attribution.on_crash("u1", 1, "no listener", is_planned=False)
+        assert records.crash_count(HARMFUL) == crash_count
+        await trio.sleep(0.5)
+
+
 @pytest.mark.parametrize("is_known", [False, True])
 async def test_a_replaced_upstream_counts_once(
     records, attribution, autojump_clock, is_known
--- a/tests/traffic/test_owner.py
+++ b/tests/traffic/test_owner.py
@@ -9,6 +9,7 @@
 from shallotbridge.core import decisions
 from shallotbridge.core import errors
 from shallotbridge.core import model as messages
+from shallotbridge.traffic import crash_records
 from shallotbridge.traffic import model
 from shallotbridge.traffic import owner
 from shallotbridge.transports import tcp
@@ -212,6 +213,37 @@
         assert [one.header("x-id") for one in upstream.requests] == ["first"]
 
 
+async def test_a_request_that_waits_when_it_becomes_refused_is_not_sent():
+    """Guards against copies in the queue of a request that ends upstreams."""
+    records = crash_records.CrashRecords()
+    async with _owner(slots=1, known_crashes=records) as (server, upstream):
+        upstream.can_respond = trio.Event()
+        replies = []
+
+        async def send(request_id, target):
+            replies.append(await server.run(work(request_id, target=target)))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send, "first", "/shop/1")
+            while not upstream.requests:
+                await trio.sleep(0.005)
+            nursery.start_soon(send, "harmful", "/shop/harmful")
+            while server.in_progress < 2:
+                await trio.sleep(0.005)
+            fingerprints = crash_records.make_fingerprints(
+                method="GET",
+                target="/shop/harmful",
+                host="shop.example",
+                caller_service=None,
+                body=b"",
+            )
+            for crash_id in range(crash_records.CRASH_LIMIT):
+                records.on_crash(fingerprints, crash_id)
+            upstream.can_respond.set()
+        assert [one.header("x-id") for one in upstream.requests] == ["first"]
+        assert replies[1].code == errors.QuarantinedError.code
+
+
 async def test_a_cold_upstream_gets_most_of_its_rate_limit():
     """Guards against refusing requests that a cold upstream may get.
 
