Blame running requests only at a crash that ended a connection

Cause: a full upstream may refuse the connection of a health check. Since running requests became candidates at each crash, that blamed them, and a harmful one among them then escaped the blame for the crash that followed. Change: running requests are candidates if a connection was lost with a request in flight, or if the upstream has fallen silent. Measured: test_a_refused_health_check_alone_blames_no_running_request fails without the change, passes with it; 76 tests of the affected files pass.

--- a/shallotbridge/traffic/crash_attribution.py
+++ b/shallotbridge/traffic/crash_attribution.py
@@ -159,7 +159,9 @@
             ended_at += WITHDRAWN_RUN_SECONDS
         return ended_at >= self._alive_at
 
-    def on_crash(self, upstream_id, started_ms, reason, *, is_planned):
+    def on_crash(
+        self, upstream_id, started_ms, reason, *, is_planned, is_silent=False
+    ):
         """Blame the requests in flight at a crash of the upstream.
 
         Parameters
@@ -172,8 +174,11 @@
         is_planned : bool
             Whether the upstream or the node is leaving. Connections that are
             lost then show no crash.
+        is_silent : bool
+            Whether the upstream has stopped answering without ending its
+            connections.
         """
-        candidates = self._take_candidates()
+        candidates = self._take_candidates(is_silent)
         self._crashed = (upstream_id, started_ms)
         if not candidates:
             return
@@ -209,18 +214,23 @@
         if candidates:
             self._blame(candidates, upstream_id, started_ms, "replaced")
 
-    def _take_candidates(self):
-        """Return the requests to blame; no later crash blames them again."""
-        candidates = set()
-        for unanswered in self._unanswered:
-            if self._is_candidate(unanswered):
-                candidates.update(unanswered.fingerprints)
+    def _take_candidates(self, is_silent):
+        """Return the requests to blame; no later crash blames them again.
+
+        A crash ends all connections. If none is lost, a full upstream may
+        have refused the connection of the health check.
+        """
+        unanswered = list(filter(self._is_candidate, self._unanswered))
         self._unanswered.clear()
-        for ticket, sent in self._sent_by_ticket.items():
-            candidates.update(sent.fingerprints)
-            self._sent_by_ticket[ticket] = dataclasses.replace(
-                sent, fingerprints=()
-            )
+        candidates = set()
+        for each in unanswered:
+            candidates.update(each.fingerprints)
+        if is_silent or not all(each.is_withdrawn for each in unanswered):
+            for ticket, sent in self._sent_by_ticket.items():
+                candidates.update(sent.fingerprints)
+                self._sent_by_ticket[ticket] = dataclasses.replace(
+                    sent, fingerprints=()
+                )
         return candidates
 
     def _blame(self, candidates, upstream_id, started_ms, reason):
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -609,13 +609,14 @@
             )
             self._on_crash_records_changed(cleared)
 
-    def _on_crash(self, reason):
+    def _on_crash(self, reason, *, is_silent=False):
         registered = self._registered
         self._crash_attribution.on_crash(
             registered and registered.upstream_id,
             registered and registered.started_ms,
             reason,
             is_planned=isinstance(self._closed_error(), errors.LeavingError),
+            is_silent=is_silent,
         )
 
     def _make_request(self, work, remaining):
@@ -881,7 +882,7 @@
                 return
             self._unanswered_probes += 1
             if self._unanswered_probes == UNANSWERED_PROBE_THRESHOLD:
-                self._on_crash("no health check is answered")
+                self._on_crash("no health check is answered", is_silent=True)
             if (
                 self._unanswered_probes >= UNANSWERED_PROBE_THRESHOLD
                 or error.is_connection_lost
--- a/tests/traffic/test_crash_attribution.py
+++ b/tests/traffic/test_crash_attribution.py
@@ -148,3 +148,19 @@
     attribution.on_crash("u1", 1, "no listener", is_planned=False)
     assert records.crash_count(HARMFUL) == crash_records.CRASH_LIMIT - 1
     assert len(records) < crash_records.MAXIMUM_RECORDS
+
+
+async def test_a_refused_health_check_alone_blames_no_running_request(
+    records, attribution, autojump_clock
+):
+    """Guards against blame at a full upstream that refuses connections.
+
+    The running request stays a candidate for a later crash.
+    """
+    attribution.on_sent("running", (BYSTANDER,))
+    attribution.on_crash("u1", 1, "refused", is_planned=False)
+    assert records.crash_count(BYSTANDER) == 0
+    await trio.sleep(0.1)
+    attribution.on_connection_lost("running")
+    attribution.on_crash("u1", 1, "no listener", is_planned=False)
+    assert records.crash_count(BYSTANDER) == 1
