Test that a request that ended upstreams gets no retry and no hedge

Cause: neither was tested at the entry node. Change: test only. Measured: passes; with no known crashes the same requests are retried and hedged.

--- a/tests/traffic/test_entry.py
+++ b/tests/traffic/test_entry.py
@@ -2,11 +2,13 @@
 
 import random
 
+import pytest
 import trio
 
 from shallotbridge._generated import link
 from shallotbridge.core import errors
 from shallotbridge.core import model as messages
+from shallotbridge.traffic import crash_records
 from shallotbridge.traffic import entry
 from shallotbridge.traffic import model
 from shallotbridge.traffic import retry_budget
@@ -86,6 +88,7 @@
     constant=500.0,
     read_view=None,
     wait_for_view=_never,
+    known_crashes=None,
 ):
     view = builders.view(
         builders.configuration(route or builders.route()),
@@ -113,6 +116,7 @@
         retry_budget_of=lambda service: budget,
         random=random.Random(1),
         count=lambda *arguments: None,
+        known_crashes=known_crashes,
         record=lambda action, **fields: lines.append((action, fields)),
     )
     return made, owners, lines
@@ -287,6 +291,33 @@
         nursery.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize("is_slow", [False, True])
+@pytest.mark.parametrize("crashes", [0, crash_records.CRASH_LIMIT - 1])
+async def test_a_request_that_ended_upstreams_gets_no_retry_or_hedge(
+    autojump_clock, crashes, is_slow
+):
+    """Guards against copies of a request that may end one upstream each."""
+    records = crash_records.CrashRecords()
+
+    async def handle_offer(address, work):
+        if is_slow:
+            await trio.sleep_forever()
+        return _failure()
+
+    server, owners, _ = _server(handle_offer, known_crashes=records)
+    fingerprints = crash_records.make_fingerprints(
+        method="GET",
+        target="/shop/1",
+        host="shop.example",
+        caller_service=builders.OWN_HOST.service,
+        body=b"",
+    )
+    for crash_id in range(crashes):
+        records.on_crash(fingerprints, crash_id)
+    await _answer_with_hedging(server)
+    assert (len(owners.offers) > 1) is (crashes == 0)
+
+
 async def test_node_that_shuts_down_waits_for_slow_answers(autojump_clock):
     """Guards against a shutdown that abandons a running request.
 
