--- a/shallotbridge/traffic/crash_records.py
+++ b/shallotbridge/traffic/crash_records.py
@@ -7,6 +7,7 @@
 import collections
 import dataclasses
 import hashlib
+import heapq
 
 import trio
 
@@ -26,6 +27,8 @@
 MAXIMUM_SUCCESSES = 4096
 # Records of peers with a higher number are malformed.
 MAXIMUM_COMPLETIONS = 2**31
+# Number of fingerprints in a line of the log.
+MAXIMUM_LOGGED_RECORDS = 20
 # Digests must fit into a signed 64-bit integer on the wire.
 _DIGEST_BYTES = 7
 
@@ -173,6 +176,7 @@
                 frozenset((crash_id,)),
                 now,
             )
+        self._limit_size(now)
         return blamed
 
     def on_success(self, *fingerprints):
@@ -247,7 +251,9 @@
                 is_news |= self._clear(record.fingerprint)
             if is_news:
                 news.add(record.fingerprint)
-        return news
+        if news:
+            self._limit_size(now)
+        return news & self._records_by_fingerprint.keys()
 
     def export(self, fingerprints=None):
         """Return records as ``link.CrashRecord``, by default all of them."""
@@ -288,21 +294,25 @@
             crashed_at=crashed_at,
         )
         self._digest = None
-        now = trio.current_time()
+        return True
+
+    def _limit_size(self, now):
         self._drop_expired(now)
-        while len(self._records_by_fingerprint) > MAXIMUM_RECORDS:
-            dropped_fingerprint = min(
-                self._records_by_fingerprint, key=self._weight
-            )
-            dropped = self._records_by_fingerprint.pop(dropped_fingerprint)
-            self._record(
-                "crash_record_dropped",
-                chosen=f"{dropped_fingerprint:x}",
-                crashes=len(dropped.crash_ids),
-                completions=dropped.completions,
-                age_s=round(now - dropped.crashed_at, 1),
-            )
-        return fingerprint in self._records_by_fingerprint
+        excess = len(self._records_by_fingerprint) - MAXIMUM_RECORDS
+        if excess <= 0:
+            return
+        dropped = heapq.nsmallest(
+            excess, self._records_by_fingerprint, key=self._weight
+        )
+        self._record(
+            "crash_records_dropped",
+            chosen=[f"{each:x}" for each in dropped[-MAXIMUM_LOGGED_RECORDS:]],
+            count=len(dropped),
+            crashes=self._crash_count(dropped[-1]),
+        )
+        for fingerprint in dropped:
+            del self._records_by_fingerprint[fingerprint]
+        self._digest = None
 
     def _weight(self, fingerprint):
         """Return the order in which records are dropped from a full table.
