Count a crash once, however often it is noticed

Cause: a silent upstream was blamed for at the first health check without an answer, and again when its connections ended, each time with another crash id. Change: the id of a crash has the time of the last sign of life in place of the time of the verdict. Requests in flight stay candidates after a verdict. Measured: test_a_silent_crash_counts_once fails without the change, passes with it.

--- a/shallotbridge/traffic/crash_attribution.py
+++ b/shallotbridge/traffic/crash_attribution.py
@@ -30,7 +30,6 @@
     Attributes
     ----------
     fingerprints : tuple of int
-        Empty if it is not to be blamed for a further crash.
     sent_at : float
         On trio's clock.
     """
@@ -215,7 +214,7 @@
             self._blame(candidates, upstream_id, started_ms, "replaced")
 
     def _take_candidates(self, is_silent):
-        """Return the requests to blame; no later crash blames them again.
+        """Return the requests to blame.
 
         A crash ends all connections. If none is lost, a full upstream may
         have refused the connection of the health check.
@@ -226,20 +225,18 @@
         for each in unanswered:
             candidates.update(each.fingerprints)
         if is_silent or not all(each.is_withdrawn for each in unanswered):
-            for ticket, sent in self._sent_by_ticket.items():
+            for sent in self._sent_by_ticket.values():
                 candidates.update(sent.fingerprints)
-                self._sent_by_ticket[ticket] = dataclasses.replace(
-                    sent, fingerprints=()
-                )
         return candidates
 
     def _blame(self, candidates, upstream_id, started_ms, reason):
-        now = trio.current_time()
-        crash_id = crash_records.make_crash_id(upstream_id, started_ms, now)
+        crash_id = crash_records.make_crash_id(
+            upstream_id, started_ms, self._alive_at
+        )
         blamed = self._known_crashes.on_crash(candidates, crash_id)
         self._log.record(
             "upstream_crashed",
-            now,
+            trio.current_time(),
             chosen=upstream_id,
             started_ms=started_ms,
             reason=reason,
--- a/shallotbridge/traffic/crash_records.py
+++ b/shallotbridge/traffic/crash_records.py
@@ -374,7 +374,7 @@
     return digest, _digest(variant.encode("utf-8", "surrogateescape"), b"")
 
 
-def make_crash_id(upstream_id, started_ms, crashed_at):
+def make_crash_id(upstream_id, started_ms, alive_at):
     """Return a digest of a crash.
 
     Parameters
@@ -383,11 +383,12 @@
     started_ms : int
         As registered. An upstream that is back under its id may end again
         before its new start is registered.
-    crashed_at : float
-        On the clock of the node beside the upstream, the only one that
-        reports its crashes.
+    alive_at : float
+        When the upstream was last known to be alive, on the clock of the node
+        beside it, the only one that reports its crashes. It tells such a
+        crash from the first one, however often each is noticed.
     """
-    return _digest(f"{upstream_id}\n{started_ms}\n{crashed_at}".encode(), b"")
+    return _digest(f"{upstream_id}\n{started_ms}\n{alive_at}".encode(), b"")
 
 
 def _digest(head, body):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,7 +5,11 @@
 from soak import run
 
 # Seeds that found a failure, each with a line on its cause.
-REGRESSION_SEEDS = ()
+REGRESSION_SEEDS = (
+    # A silent crash was counted again when its connections ended, so that a
+    # frequent harmless request was refused.
+    39401,
+)
 
 
 # The second one loses readers while changes come in series.
--- a/tests/traffic/test_crash_attribution.py
+++ b/tests/traffic/test_crash_attribution.py
@@ -107,6 +107,24 @@
         attribution.on_crash("u1", 1, "no listener", is_planned=False)
         assert records.crash_count(HARMFUL) == crash_count
         await trio.sleep(0.5)
+        attribution.on_alive("u1", trio.current_time())
+
+
+async def test_a_silent_crash_counts_once(
+    records, attribution, autojump_clock
+):
+    """Guards against bystanders that one crash is counted for twice.
+
+    The upstream answers no health check; later its connections end.
+    """
+    attribution.on_sent("before", (BYSTANDER,))
+    attribution.on_crash("u1", 1, "silent", is_planned=False, is_silent=True)
+    await trio.sleep(0.1)
+    attribution.on_sent("after", (BYSTANDER,))
+    attribution.on_connection_lost("before")
+    attribution.on_connection_lost("after")
+    attribution.on_crash("u1", 1, "no listener", is_planned=False)
+    assert records.crash_count(BYSTANDER) == 1
 
 
 @pytest.mark.parametrize("is_known", [False, True])
