Add the fields that customers, quotas and load decisions share

Routes of kind `download` were also not retried. Change: customers and public routes in the traffic model, QuotaRequest and QuotaGrant, Load.slowdown and Work.route_priority, bounds of quotas and descriptors in the settings, SHALLOTBRIDGE_CAPACITY and SHALLOTBRIDGE_OVERLOAD with defaults that change nothing; `download` is idempotent.

--- a/shallotbridge/_generated/link.py
+++ b/shallotbridge/_generated/link.py
@@ -47,6 +47,8 @@
     sender: str = ""
     # requests a second that the upstream named; -1: none
     known_limit: float = -1.0
+    # orders requests of equal priority
+    route_priority: int = 0
 
 
 class Cancel(
@@ -93,6 +95,8 @@
     leaving_id: str = ""
     # start of that upstream, Unix time
     leaving_started_ms: int = 0
+    # duration of its requests relative to the usual one; 0: not told
+    slowdown: float = 0.0
 
 
 class Answer(
@@ -269,3 +273,45 @@
     digest: int = 0
     # time since that copy was known to be complete
     age_ms: float = 0.0
+
+
+class QuotaRequest(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag=13,
+    gc=False,
+):
+    """Asks the home node of a customer for a part of its quota."""
+
+    call_id: int
+    # name of the customer
+    customer: str
+    # requests that the sender wants to pass on
+    tokens: float
+    # requests a second of the customer at the sender
+    demand: float
+    # of the sender's configuration
+    version: int
+    # address of the sender
+    sender: str
+
+
+class QuotaGrant(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag=14,
+    gc=False,
+):
+    """Answers a QuotaRequest."""
+
+    call_id: int
+    # requests that the sender may pass on; 0: none
+    tokens: float
+    # time after which unused tokens are void
+    valid_ms: float
+    # time until a token is due if there is none
+    retry_after_ms: float
+    # part of the quota for the sender while it does not reach the home node
+    share: float
--- a/shallotbridge/peers/frames.py
+++ b/shallotbridge/peers/frames.py
@@ -24,6 +24,8 @@
     link.Pong,
     link.Pull,
     link.Items,
+    link.QuotaRequest,
+    link.QuotaGrant,
 ]
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/shallotbridge/platform/items.py
+++ b/shallotbridge/platform/items.py
@@ -18,6 +18,8 @@
 # Priority of routes that state none; it ranks below every stated priority.
 _DEFAULT_PRIORITY = 9
 _UPSTREAM_STATES = ("ready", "draining")
+# Kinds of routes whose requests may run more than once.
+_IDEMPOTENT_KINDS = ("idempotent", "download")
 # Bounds of an upstream's entry, which any program may have written. Larger
 # values do not fit the messages between nodes, or the arithmetic of a node.
 MAXIMUM_NAME_LENGTH = 200
@@ -313,7 +315,7 @@
         host=host.lower(),
         path_prefix=prefix,
         destinations=destinations,
-        is_idempotent=rule.kind == "idempotent",
+        is_idempotent=rule.kind in _IDEMPOTENT_KINDS,
         timeout_seconds=timeout,
         objective_seconds=objective,
         maximum_attempts=action.max_attempts,
--- a/shallotbridge/platform/names.py
+++ b/shallotbridge/platform/names.py
@@ -16,5 +16,7 @@
     cold="cold-remaining",
     limit="server-limit",
     leaving="server-leaving",
+    api_key="x-api-key",
+    customer="tenant-name",
 )
 READINESS_PATH = "/v1/readiness"
--- a/shallotbridge/platform/program.py
+++ b/shallotbridge/platform/program.py
@@ -1,5 +1,6 @@
 """Runs a node as a process on the users' platform."""
 
+import dataclasses
 import gc
 import os
 import random
@@ -26,6 +27,8 @@
 EXIT_SETTINGS = 2
 SETTINGS_VARIABLE = "SHALLOTBRIDGE_SETTINGS"
 METRICS_PORT_VARIABLE = "SHALLOTBRIDGE_METRICS_PORT"
+CAPACITY_VARIABLE = "SHALLOTBRIDGE_CAPACITY"
+OVERLOAD_VARIABLE = "SHALLOTBRIDGE_OVERLOAD"
 # How often the settings file is checked for changes made without a SIGHUP.
 SETTINGS_CHECK_INTERVAL_SECONDS = 2.0
 
@@ -34,7 +37,15 @@
     """Run a node until it receives a stop signal; return the exit status."""
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
-        node_settings = settings.load(path)
+        node_settings = dataclasses.replace(
+            settings.load(path),
+            is_capacity_learned=read_choice(
+                CAPACITY_VARIABLE, ("registered", "learned")
+            ),
+            is_overload_control_enabled=read_choice(
+                OVERLOAD_VARIABLE, ("basic", "outcome")
+            ),
+        )
         metrics_port = _metrics_port()
     except errors.SettingsError as error:
         print(
@@ -77,6 +88,22 @@
     return int(text)
 
 
+def read_choice(variable, values):
+    """Return whether a variable has the second value; the first if unset.
+
+    Raises
+    ------
+    errors.SettingsError
+        The variable has neither value.
+    """
+    text = os.environ.get(variable) or values[0]
+    if text not in values:
+        raise errors.SettingsError(
+            [f"{variable}: found {text!r}; expected one of {values}"]
+        )
+    return text == values[1]
+
+
 async def _run(node_settings, path, metrics_port):
     network = tcp.tcp_network()
     address, port = node_settings.platform_address
@@ -138,7 +165,13 @@
 def _check_settings(path, node_settings, reason):
     """Log whether the settings changed; changes take effect on restart."""
     try:
-        new_settings = settings.load(path)
+        new_settings = dataclasses.replace(
+            settings.load(path),
+            is_capacity_learned=node_settings.is_capacity_learned,
+            is_overload_control_enabled=(
+                node_settings.is_overload_control_enabled
+            ),
+        )
     except errors.SettingsError as error:
         decisions.record(
             "settings_rejected",
--- a/shallotbridge/platform/settings.py
+++ b/shallotbridge/platform/settings.py
@@ -17,6 +17,10 @@
 DEFAULT_OTHER_BOUND = "60s"
 # Used when the file does not limit the memory of the process.
 DEFAULT_MEMORY_MB = 200.0
+# Used when the file does not limit the descriptors of the process.
+DEFAULT_FILE_DESCRIPTORS = 4096
+# Used when the file does not bound the excess over quotas.
+DEFAULT_QUOTA_WINDOW = "5s"
 
 
 def load(path):
@@ -109,6 +113,16 @@
         "memory_mb": reader.get(
             "self.limits.memory_mb", float, DEFAULT_MEMORY_MB
         ),
+        "file_descriptors": reader.get(
+            "self.limits.file_descriptors", int, DEFAULT_FILE_DESCRIPTORS
+        ),
+        "quota_overage": reader.get("terms.bounds.quota_overage", float, 0.0),
+        "quota_slack": reader.get("terms.bounds.quota_slack", float, 0.0),
+        "quota_window": reader.convert(
+            "terms.bounds.quota_window",
+            durations.parse_duration,
+            DEFAULT_QUOTA_WINDOW,
+        ),
     }
     if port_range is not None and not (
         len(port_range) == 2
@@ -144,6 +158,10 @@
         report_interval_seconds=values["report"],
         grace_period_seconds=values["grace"],
         memory_bytes=int(values["memory_mb"] * 1_000_000),
+        file_descriptors=values["file_descriptors"],
+        quota_overage=values["quota_overage"],
+        quota_slack=values["quota_slack"],
+        quota_window_seconds=values["quota_window"],
     )
 
 
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -81,6 +81,18 @@
         Time between the stop signal and the forced end of the process.
     memory_bytes : int
         Memory that the process may use.
+    file_descriptors : int
+        File descriptors that the process may use.
+    quota_overage, quota_slack : float
+        How far all nodes together may exceed the quota of a customer in any
+        window: by a ratio of it, and by a number of requests.
+    quota_window_seconds : float
+    is_capacity_learned : bool
+        Whether the concurrency limit of the upstream is learned from its
+        response times. Otherwise it is the number of registered slots.
+    is_overload_control_enabled : bool
+        Whether admission under overload considers the calls that requests
+        make and the times at which refused clients return.
     """
 
     own_host: model.OwnHost
@@ -97,6 +109,12 @@
     report_interval_seconds: float
     grace_period_seconds: float
     memory_bytes: int
+    file_descriptors: int = 4096
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
+    quota_window_seconds: float = 5.0
+    is_capacity_learned: bool = False
+    is_overload_control_enabled: bool = False
 
 
 class Node:
--- a/shallotbridge/traffic/model.py
+++ b/shallotbridge/traffic/model.py
@@ -27,6 +27,8 @@
         Maximum number of upstreams that one request may be sent to.
     priority : int
         0 is the highest priority.
+    is_public : bool
+        Whether requests need no key of a customer.
     """
 
     name: str
@@ -38,6 +40,7 @@
     objective_seconds: float
     maximum_attempts: int
     priority: int
+    is_public: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -59,6 +62,27 @@
     cold_rate: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Customer:
+    """A customer whose requests carry one of its keys.
+
+    Attributes
+    ----------
+    priority : int or None
+        Takes precedence over the priority of the route; None if the customer
+        has none.
+    rate : float
+        Quota of all nodes together, requests per second; 0 means no quota.
+    burst : float
+        Requests beyond the rate that may come at once.
+    """
+
+    name: str
+    priority: int | None = None
+    rate: float = 0.0
+    burst: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ClientLimits:
     """Size limits and timeouts of client requests."""
@@ -85,12 +109,15 @@
     ----------
     routes_by_host : mapping
         For each host name, a mapping of path prefixes to routes.
+    customers_by_key : mapping of str to Customer, or None
+        None if requests need no key.
     """
 
     version: int
     routes_by_host: typing.Mapping[str, typing.Mapping[str, Route]]
     services_by_name: typing.Mapping[str, Service]
     limits: ClientLimits
+    customers_by_key: typing.Mapping[str, Customer] | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -214,6 +241,10 @@
         in all its answers while it has a limit.
     leaving : str
         ``1`` in all answers of an upstream that is shutting down.
+    api_key : str
+        Key of the customer that sends the request. Upstreams do not get it.
+    customer : str
+        Name of the customer that holds the key, for upstreams.
     """
 
     request_id: str
@@ -226,3 +257,5 @@
     cold: str
     limit: str
     leaving: str
+    api_key: str
+    customer: str
--- a/tests/peers/test_frames.py
+++ b/tests/peers/test_frames.py
@@ -45,12 +45,13 @@
 async def test_a_load_report_of_an_older_build_tells_no_limit():
     """Guards against a rollout that fails at the newest fields.
 
-    The build before the limits ends the message four fields earlier.
+    The build before the limits ends the message five fields earlier.
     """
     fields = _fields(link.Pong(load=LOAD))
-    del fields[1][-4:]
+    del fields[1][-5:]
     message = await _decode(fields)
     assert message.load.limit == -1.0
+    assert message.load.slowdown == 0.0
     assert message.load.leaving_id == ""
 
 
--- a/tests/platform/test_items.py
+++ b/tests/platform/test_items.py
@@ -187,6 +187,14 @@
     assert found.services_by_name["shop"].cold_rate == 16.0
 
 
+def test_downloads_may_run_again():
+    """Guards against downloads that fail though a retry would serve them."""
+    changed = json.loads(json.dumps(CONFIGURATION))
+    changed["listeners"][0]["rules"][0]["kind"] = "download"
+    found = items.decode_item("op/config", json.dumps(changed).encode())
+    assert found.routes_by_host["shop.example"]["/hold/"].is_idempotent
+
+
 _FIRST_RULE = ["listeners", 0, "rules", 0]
 
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -3,6 +3,7 @@
 import pytest
 
 from shallotbridge.core import errors
+from shallotbridge.platform import program
 from shallotbridge.platform import settings
 
 TEXT = """
@@ -74,6 +75,18 @@
     assert settings.parse(TEXT).memory_bytes == 200_000_000
 
 
+def test_descriptors_and_quota_bounds_are_read():
+    """Guards against quotas and descriptors of another deployment."""
+    parsed = settings.parse(
+        f'{TEXT}\nquota_window = "4s"\nquota_overage = 0.25\n'
+        "quota_slack = 20\n[self.limits]\nfile_descriptors = 4100\n"
+    )
+    assert parsed.file_descriptors == 4100
+    assert parsed.quota_window_seconds == 4.0
+    assert (parsed.quota_overage, parsed.quota_slack) == (0.25, 20.0)
+    assert settings.parse(TEXT).quota_window_seconds == 5.0
+
+
 def test_all_problems_are_reported_at_once():
     """Guards against a report that stops at the first problem.
 
@@ -110,3 +123,22 @@
     """
     parsed = settings.parse(TEXT.replace('heartbeat_interval = "1500ms"', ""))
     assert parsed.report_interval_seconds == 1.5
+
+
+@pytest.mark.parametrize(
+    "value, expected", [("", False), ("registered", False), ("learned", True)]
+)
+def test_a_choice_has_a_default(monkeypatch, value, expected):
+    """Guards against parts that take effect without being configured."""
+    monkeypatch.setenv(program.CAPACITY_VARIABLE, value)
+    choices = ("registered", "learned")
+    assert program.read_choice(program.CAPACITY_VARIABLE, choices) is expected
+
+
+def test_an_unknown_choice_is_an_error(monkeypatch):
+    """Guards against a misspelt value that silently means the default."""
+    monkeypatch.setenv(program.CAPACITY_VARIABLE, "learnt")
+    with pytest.raises(errors.SettingsError):
+        program.read_choice(
+            program.CAPACITY_VARIABLE, ("registered", "learned")
+        )
--- a/tests/traffic/builders.py
+++ b/tests/traffic/builders.py
@@ -14,6 +14,8 @@
     cold="x-cold",
     limit="x-limit",
     leaving="x-leaving",
+    api_key="x-key",
+    customer="x-customer",
 )
 MIRROR_STATE = mirror.MirrorState(position=1, digest=1, age=0.0)
 MIRROR_STATES = mirror.MirrorStates(
