Let a read of the store take as long as its answer keeps arriving

Of 50 killed nodes the new readers of one failure domain each read the configuration whole (1,600 routes more, links of 5 to 10 Mbit/s that also carry the requests); each gave up after 1 s ("did not respond before the deadline"), excluded itself and the next one began, so that no node of the domain had version 39 until another domain, cut off from 29.5 to 35.0 s, was back. Ruled out: the store (watches of the same nodes were answered all the while). Change: a range read ends when no byte has arrived for RESPONSE_TIMEOUT_SECONDS (1 s, as before), or after 10 s.

--- a/shallotbridge/core/http1.py
+++ b/shallotbridge/core/http1.py
@@ -104,6 +104,8 @@
         self._buffer = b""
         # On trio's clock; when it passes, reading the message fails.
         self._receive_deadline = math.inf
+        # Called without arguments after each receipt of bytes, if set.
+        self.on_received = None
         self.is_persistent = False
 
     async def _receive(self):
@@ -113,7 +115,10 @@
         that is already buffered, the usual case, needs none.
         """
         if self._receive_deadline == math.inf:
-            return await self._stream.receive_some(_RECEIVE_BYTES)
+            received = await self._stream.receive_some(_RECEIVE_BYTES)
+            if self.on_received is not None:
+                self.on_received()
+            return received
         with trio.CancelScope(deadline=self._receive_deadline):
             return await self._stream.receive_some(_RECEIVE_BYTES)
         raise errors.RequestTimeoutError(
--- a/shallotbridge/platform/store.py
+++ b/shallotbridge/platform/store.py
@@ -4,6 +4,7 @@
 import binascii
 import errno
 import functools
+import math
 import urllib.parse
 
 import msgspec
@@ -21,6 +22,11 @@
 # Timeout of a range read, and of a watch in addition to its wait time. The
 # store usually responds in 4 ms; on slow days in some hundred milliseconds.
 RESPONSE_TIMEOUT_SECONDS = 1.0
+# Timeout of a read whose response keeps arriving. A configuration of 2,400
+# routes takes seconds on a link of 5 Mbit/s that also carries requests; with
+# RESPONSE_TIMEOUT_SECONDS for the whole read, all readers of a failure domain
+# gave up in turn and none got the configuration.
+READ_TIMEOUT_SECONDS = 10.0
 # How often a read of several pages starts again because the store was restored
 # between two pages.
 MAXIMUM_READ_RESTARTS = 3
@@ -109,8 +115,9 @@
                 "/v1/kv-range",
                 {"after": after, "stale_ok": stale_ok},
                 _RangeResponse,
-                RESPONSE_TIMEOUT_SECONDS,
+                READ_TIMEOUT_SECONDS,
                 prefix,
+                stall_seconds=RESPONSE_TIMEOUT_SECONDS,
             )
             page_position = positions.make_position(page.era, page.at)
             if position is not None and (
@@ -233,7 +240,15 @@
             _to_published_item(item, response.era) for item in response.events
         ], positions.make_position(response.era, response.at)
 
-    async def _get(self, path, query, response_type, seconds, prefix=""):
+    async def _get(
+        self,
+        path,
+        query,
+        response_type,
+        seconds,
+        prefix="",
+        stall_seconds=math.inf,
+    ):
         parameters = {name: text for name, text in query.items() if text}
         target = f"{path}?path_prefix={prefix}"
         if parameters:
@@ -243,7 +258,9 @@
         )
         try:
             response = await self._http_client.exchange(
-                request, deadline_at=trio.current_time() + seconds
+                request,
+                deadline_at=trio.current_time() + seconds,
+                stall_seconds=stall_seconds,
             )
         except errors.CallError as error:
             unavailable = errors.PlatformUnavailableError(
--- a/shallotbridge/traffic/upstream_client.py
+++ b/shallotbridge/traffic/upstream_client.py
@@ -1,6 +1,8 @@
 """HTTP client with a connection pool, for an upstream or the platform."""
 
 import collections
+import functools
+import math
 
 import trio
 
@@ -98,7 +100,14 @@
         self._is_closed = False
         self.connect_count = 0
 
-    async def exchange(self, request, *, deadline_at, is_idempotent=True):
+    async def exchange(
+        self,
+        request,
+        *,
+        deadline_at,
+        is_idempotent=True,
+        stall_seconds=math.inf,
+    ):
         """Send a request and return the upstream's complete response.
 
         Parameters
@@ -110,6 +119,8 @@
             Whether the request may run twice. Otherwise it only reuses
             connections that were idle for at most
             ``NON_IDEMPOTENT_MAXIMUM_IDLE_SECONDS``.
+        stall_seconds : float
+            Longest time without receiving any bytes.
 
         Returns
         -------
@@ -129,12 +140,20 @@
         errors.AnswerTooLargeError
             The response exceeds a size limit, or its memory.
         errors.DeadlineAfterSendError
-            No response before the deadline.
+            No response before the deadline, or it stalled.
         """
         data = http1_encoding.encode_request(request)
         sent_at = trio.current_time()
-        with trio.CancelScope(deadline=deadline_at):
-            response = await self._exchange(request, data, is_idempotent)
+        with trio.CancelScope(deadline=deadline_at) as scope:
+            on_received = None
+            if stall_seconds < math.inf:
+                on_received = functools.partial(
+                    _extend_deadline, scope, deadline_at, stall_seconds
+                )
+                on_received()
+            response = await self._exchange(
+                request, data, is_idempotent, on_received
+            )
             if self._on_response is not None:
                 self._on_response(request, response, sent_at)
             self._check_response(request, response)
@@ -159,7 +178,7 @@
                 reason="421",
             )
 
-    async def _exchange(self, request, data, is_idempotent):
+    async def _exchange(self, request, data, is_idempotent, on_received):
         request_id = request.header(self._header_names.request_id)
         while True:
             connection = self._pop_idle(is_idempotent, request_id)
@@ -167,6 +186,7 @@
             if not is_reused:
                 connection = await self._connect()
             is_reusable = False
+            connection.reader.on_received = on_received
             try:
                 stream = connection.stream
                 try:
@@ -323,6 +343,10 @@
         self.close_all_idle()
 
 
+def _extend_deadline(scope, deadline_at, stall_seconds):
+    scope.deadline = min(deadline_at, trio.current_time() + stall_seconds)
+
+
 def make_request(*, method, target, headers, body=b""):
     """Return a request with headers given as pairs of name and value."""
     return messages.Request(
