Authenticate customers by API key and rank requests by their priority

Cause: configurations define customers with keys and priorities; nodes ignored them and forwarded keys to upstreams. Change: `tenants` and `public` are decoded; shared keys and invalid values reject the configuration as a whole. Work.priority is the customer's priority and Work.route_priority the route's; without customers both are the route's, so the order stays. Unchanged customers are decoded once for all versions.

--- a/shallotbridge/core/errors.py
+++ b/shallotbridge/core/errors.py
@@ -393,6 +393,21 @@
     status = 408
 
 
+class UnknownKeyError(CallError):
+    """The request has no API key, or one that no customer holds."""
+
+    code = "SB-3024"
+    status = 401
+    is_retry_safe = False
+
+
+class QuotaExceededError(CallError):
+    """The customer has used up its quota for now."""
+
+    code = "SB-3025"
+    status = 429
+
+
 # Settings, SB-4xxx.
 
 
--- a/shallotbridge/core/http1_encoding.py
+++ b/shallotbridge/core/http1_encoding.py
@@ -33,6 +33,7 @@
     204: "No Content",
     304: "Not Modified",
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     409: "Conflict",
     413: "Content Too Large",
--- a/shallotbridge/platform/items.py
+++ b/shallotbridge/platform/items.py
@@ -2,6 +2,7 @@
 
 import functools
 import ipaddress
+import math
 import types
 
 import msgspec
@@ -26,6 +27,12 @@
 MAXIMUM_SLOTS = 100_000
 MAXIMUM_COUNT = 2**53 - 1
 _MAXIMUM_PORT_DIGITS = 5
+MAXIMUM_KEY_LENGTH = 512
+# Larger priorities and quotas of customers are taken for mistakes.
+_MAXIMUM_PRIORITY = 1_000_000
+_MAXIMUM_QUOTA = 1e9
+# Most configurations define the same customers as the one before.
+_CUSTOMERS_CACHE_SIZE = 1
 # Number of rules whose decoded routes are cached. Most rules are the same in
 # the next configuration. The largest configuration of the users' deployments
 # has 2,300 rules.
@@ -76,6 +83,7 @@
     action: _Action
     target_latency: str | None = None
     priority: int = _DEFAULT_PRIORITY
+    public: bool = False
 
 
 class _Listener(msgspec.Struct):
@@ -98,16 +106,26 @@
     idle_timeout: str
 
 
+class _Customer(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: float | None = None
+    burst: float | None = None
+
+
 class _Configuration(msgspec.Struct):
     version: int
     limits: _Limits
     listeners: list[_Listener]
     clusters: list[_Cluster]
+    tenants: msgspec.Raw = msgspec.Raw(b"null")
 
 
 _upstream_entry_decoder = msgspec.json.Decoder(_UpstreamEntry)
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
 _rule_decoder = msgspec.json.Decoder(_Rule)
+_customers_decoder = msgspec.json.Decoder(list[_Customer] | None)
 
 
 def decode_item(key, value):
@@ -268,6 +286,75 @@
             ),
             idle_timeout_seconds=durations.parse_duration(limits.idle_timeout),
         ),
+        customers_by_key=_decode_customers(bytes(configuration.tenants)),
+    )
+
+
+@functools.lru_cache(maxsize=_CUSTOMERS_CACHE_SIZE)
+def _decode_customers(encoded_customers):
+    """Return the customers by key; None if the configuration has none.
+
+    An error names the position of a customer or key and never the key.
+    """
+    entries = _decode(_customers_decoder, encoded_customers)
+    if not entries:
+        return None
+    customers_by_key = {}
+    names = set()
+    for position, entry in enumerate(entries):
+        _check_name(f"name of customer {position}", entry.name)
+        if not _is_header_value(entry.name):
+            raise errors.MalformedEntryError(
+                f"name of customer {position}; expected ASCII characters "
+                "without spaces at the ends, as it becomes a header"
+            )
+        if entry.name in names:
+            raise errors.MalformedEntryError(
+                f"customer {entry.name!r} is defined twice"
+            )
+        names.add(entry.name)
+        customer = _decode_customer(entry)
+        for key_position, key in enumerate(entry.api_keys):
+            problem = None
+            if len(key) > MAXIMUM_KEY_LENGTH or not _is_header_value(key):
+                problem = (
+                    f"expected 1 to {MAXIMUM_KEY_LENGTH} printable ASCII "
+                    "characters without spaces at the ends"
+                )
+            elif customers_by_key.setdefault(key, customer) is not customer:
+                problem = (
+                    f"{customers_by_key[key].name!r} has the same; expected "
+                    "each key at one customer only"
+                )
+            if problem is not None:
+                raise errors.MalformedEntryError(
+                    f"key {key_position} of customer {entry.name!r}: {problem}"
+                )
+    return types.MappingProxyType(customers_by_key)
+
+
+def _is_header_value(text):
+    return text.isascii() and text.isprintable() and text.strip() == text != ""
+
+
+def _decode_customer(entry):
+    rate, burst = entry.rate_per_s or 0.0, entry.burst or 0.0
+    for field, number in (("rate_per_s", rate), ("burst", burst)):
+        if not (math.isfinite(number) and 0 <= number <= _MAXIMUM_QUOTA):
+            raise errors.MalformedEntryError(
+                f"customer {entry.name!r}: {field} is {number}; expected 0 "
+                f"to {_MAXIMUM_QUOTA:.0f}"
+            )
+    if (
+        entry.priority is not None
+        and not 0 <= entry.priority <= _MAXIMUM_PRIORITY
+    ):
+        raise errors.MalformedEntryError(
+            f"customer {entry.name!r}: priority {entry.priority}; expected 0 "
+            f"to {_MAXIMUM_PRIORITY}"
+        )
+    return model.Customer(
+        name=entry.name, priority=entry.priority, rate=rate, burst=burst
     )
 
 
@@ -320,6 +407,7 @@
         objective_seconds=objective,
         maximum_attempts=action.max_attempts,
         priority=rule.priority,
+        is_public=rule.public,
     )
 
 
--- a/shallotbridge/traffic/admission.py
+++ b/shallotbridge/traffic/admission.py
@@ -46,6 +46,8 @@
         Name of the route; mean durations are kept per route.
     priority : int
         0 is the most urgent.
+    route_priority : int
+        Orders requests of equal priority.
     objective_at : float
         Time of the latency objective; a later response has less value.
     deadline_at : float
@@ -70,6 +72,7 @@
     __slots__ = (
         "route",
         "priority",
+        "route_priority",
         "objective_at",
         "deadline_at",
         "expected_seconds",
@@ -92,9 +95,11 @@
         on_granted,
         on_refused,
         maximum_wait_seconds=math.inf,
+        route_priority=0,
     ):
         self.route = route
         self.priority = priority
+        self.route_priority = route_priority
         self.objective_at = objective_at
         self.deadline_at = deadline_at
         self.expected_seconds = expected_seconds
@@ -106,10 +111,10 @@
         self.is_late = False
 
     def rank(self):
-        """Return the sort key: by priority, then late requests last."""
+        """Return the sort key: by both priorities, then late requests last."""
         if self.is_late:
-            return (self.priority, 1, self.deadline_at)
-        return (self.priority, 0, self.objective_at)
+            return (self.priority, self.route_priority, 1, self.deadline_at)
+        return (self.priority, self.route_priority, 0, self.objective_at)
 
 
 class AdmissionController:
--- a/shallotbridge/traffic/call.py
+++ b/shallotbridge/traffic/call.py
@@ -32,6 +32,8 @@
         seconds.
     fingerprints : tuple of int
         See ``crash_records.make_fingerprints``.
+    customer : model.Customer or None
+        The customer that sent the request; None if it needs no key.
     """
 
     __slots__ = (
@@ -51,6 +53,7 @@
         "mirror_state",
         "maximum_wait_seconds",
         "fingerprints",
+        "customer",
     )
 
     def __init__(
@@ -65,6 +68,7 @@
         started_at,
         deadline_at,
         fingerprints=(0,),
+        customer=None,
     ):
         self.request = request
         self.request_id = request_id
@@ -82,6 +86,7 @@
         self.mirror_state = None
         self.maximum_wait_seconds = math.inf
         self.fingerprints = fingerprints
+        self.customer = customer
 
 
 def parse_deadline_seconds(value):
--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -22,6 +22,7 @@
 from ..core import http1_encoding
 from ..core import model as messages
 from . import crash_records
+from . import customers
 from ..distribution import positions
 from . import hedging
 from . import routing
@@ -284,6 +285,14 @@
             if header.name not in self._reserved_header_names
         ]
         headers.append((header_names.caller_service, self._own_host.service))
+        customer = None
+        if configuration.customers_by_key is not None:
+            customer = customers.authenticate(
+                configuration, route, request.header(header_names.api_key)
+            )
+            headers = customers.replace_headers(
+                headers, customer, header_names
+            )
         return calls.Call(
             request=request,
             request_id=request_id,
@@ -602,6 +611,9 @@
         )
         peer = None if is_local else self._link_to(upstream.address)
         known_limit = self._selector.known_limit(upstream.upstream_id, now)
+        priority, route_priority = customers.priorities(
+            call.customer, call.route
+        )
         work = link.Work(
             call_id=0 if is_local else peer.next_call_id(),
             upstream_id=upstream.upstream_id,
@@ -615,13 +627,14 @@
             remaining_ms=(call.deadline_at - now) * 1000,
             objective_ms=(call.started_at + call.route.objective_seconds - now)
             * 1000,
-            priority=call.route.priority,
+            priority=priority,
             is_idempotent=call.route.is_idempotent,
             expected_ms=self._selector.expected_seconds(call.route) * 1000,
             sent_at=now,
             maximum_wait_ms=self._slot_wait_limit(call) * 1000,
             sender=own.address,
             known_limit=-1.0 if known_limit is None else known_limit,
+            route_priority=route_priority,
         )
         end_at = min(
             call.deadline_at + REPLY_MARGIN_SECONDS, self._drain_ends_at
@@ -736,6 +749,7 @@
             route=call.route.name,
             service=call.service,
             version=call.version,
+            customer=call.customer and call.customer.name,
             offers=[
                 [
                     choice.upstream.upstream_id,
--- a/shallotbridge/traffic/model.py
+++ b/shallotbridge/traffic/model.py
@@ -117,7 +117,9 @@
     routes_by_host: typing.Mapping[str, typing.Mapping[str, Route]]
     services_by_name: typing.Mapping[str, Service]
     limits: ClientLimits
-    customers_by_key: typing.Mapping[str, Customer] | None = None
+    customers_by_key: typing.Mapping[str, Customer] | None = dataclasses.field(
+        default=None, repr=False
+    )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -490,6 +490,7 @@
         ticket = admission.Ticket(
             route=work.route,
             priority=work.priority,
+            route_priority=work.route_priority,
             objective_at=now - delay + work.objective_ms / 1000,
             deadline_at=now - delay + work.remaining_ms / 1000,
             expected_seconds=work.expected_ms / 1000,
--- a/tests/platform/test_items.py
+++ b/tests/platform/test_items.py
@@ -235,3 +235,82 @@
     assert items.decode_item("op/evacuate/cairo-a", b"{}") == "cairo-a"
     assert items.decode_item("my/leader", b"x") is None
     assert items.decode_item("op/config/x", b"x") is None
+
+
+CUSTOMERS = [
+    {
+        "name": "acme",
+        "api_keys": ["key-one", "key-two"],
+        "priority": 0,
+        "rate_per_s": 114,
+        "burst": 100.5,
+    },
+    {"name": "beta", "api_keys": ["key-three"]},
+]
+
+
+def _decode_customers(customers):
+    return items.decode_item(
+        "op/config",
+        json.dumps(CONFIGURATION | {"tenants": customers}).encode(),
+    )
+
+
+def test_customers_and_public_routes_are_decoded():
+    """Guards against keys, quotas or public routes that are not applied."""
+    document = json.loads(json.dumps(CONFIGURATION))
+    document["listeners"][0]["rules"][0]["public"] = True
+    document["tenants"] = CUSTOMERS
+    found = items.decode_item("op/config", json.dumps(document).encode())
+    routes = found.routes_by_host["shop.example"]
+    assert (routes["/hold/"].is_public, routes["/browse/"].is_public) == (
+        True,
+        False,
+    )
+    acme = found.customers_by_key["key-two"]
+    assert acme is found.customers_by_key["key-one"]
+    assert (acme.name, acme.priority, acme.rate, acme.burst) == (
+        "acme",
+        0,
+        114.0,
+        100.5,
+    )
+    beta = found.customers_by_key["key-three"]
+    assert (beta.priority, beta.rate, beta.burst) == (None, 0.0, 0.0)
+    assert "key-one" not in repr(found)
+
+
+@pytest.mark.parametrize("customers", [None, []])
+def test_a_configuration_without_customers_needs_no_keys(customers):
+    """Guards against 401 to all requests of a deployment without keys."""
+    assert _decode_customers(customers).customers_by_key is None
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"api_keys": ["key-three", "key-one"]},
+        {"name": "acme"},
+        {"name": ""},
+        {"name": "a\nb"},
+        {"name": " a"},
+        {"api_keys": [""]},
+        {"api_keys": ["key-four "]},
+        {"api_keys": ["key-four" * 100]},
+        {"api_keys": "key-four"},
+        {"api_keys": [4]},
+        {"priority": -1},
+        {"priority": "0"},
+        {"rate_per_s": -1},
+        {"burst": -0.5},
+        {"rate_per_s": 1e300},
+        {"rate_per_s": "5"},
+    ],
+)
+def test_invalid_customers_reject_the_configuration(changes):
+    """Guards against shared keys, and against keys in an error's text."""
+    customers = [CUSTOMERS[0], CUSTOMERS[1] | changes]
+    with pytest.raises(errors.MalformedEntryError) as raised:
+        _decode_customers(customers)
+    assert "key-" not in str(raised.value)
+    assert "key-" not in repr(raised.value.__context__)
