Enforce the quotas of customers over all nodes

Cause: a quota holds for all nodes together, and a request refused below it is as wrong as one served beyond it. Nodes that are lost keep their share reserved; a new home node does not begin with a full bucket. Requests that were refused without having run give their token back; customers near their limit get no hedge.

--- a/shallotbridge/peers/links.py
+++ b/shallotbridge/peers/links.py
@@ -416,6 +416,14 @@
             )
         )
 
+    def notify(self, message):
+        """Send a message without a reply if the peer is connected."""
+        if self._stream is not None:
+            try:
+                self._writer.send(message)
+            except trio.BrokenResourceError:
+                self._scope.cancel()
+
     def ping(self):
         """Request the peer's load and revisions if it is connected."""
         self._ping()
--- a/shallotbridge/peers/server.py
+++ b/shallotbridge/peers/server.py
@@ -29,6 +29,9 @@
     answer_crash_records : callable
         ``answer_crash_records(ping)`` merges the crash records of a Ping and
         returns the fields of the Pong on those of this node, as a dict.
+    answer_quota : callable
+        ``answer_quota(request)`` returns the QuotaGrant of a QuotaRequest, or
+        None if it needs no answer.
     """
 
     def __init__(
@@ -39,12 +42,14 @@
         read_load,
         on_position,
         answer_crash_records=lambda ping: {},
+        answer_quota=lambda request: None,
     ):
         self._run_work = run_work
         self._answer_pull = answer_pull
         self._read_load = read_load
         self._on_position = on_position
         self._answer_crash_records = answer_crash_records
+        self._answer_quota = answer_quota
         self.connection_count = 0
 
     async def handle(self, stream):
@@ -120,6 +125,10 @@
                     **self._answer_crash_records(message),
                 )
             )
+        elif kind is link.QuotaRequest:
+            grant = self._answer_quota(message)
+            if grant is not None:
+                writer.send(grant)
         elif kind is link.Pull:
             nursery.start_soon(self._serve_pull, message, writer)
 
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -19,12 +19,14 @@
 from ..peers import domain_outage
 from ..peers import links as peer_links
 from ..peers import server as peer_server
+from . import quotas
 from ..traffic import client_connections
 from ..traffic import crash_records
 from ..traffic import departures
 from ..traffic import entry
 from ..traffic import model
 from ..traffic import owner
+from ..traffic import quota
 from ..traffic import retry_budget
 from ..traffic import routing
 from ..traffic import selection
@@ -228,6 +230,18 @@
         # Fingerprints of the records to send to the gossip peers.
         self._crash_news = set()
         self._crash_exchange_due_at = -math.inf
+        self._quotas = quotas.CustomerQuotas(
+            own_address=own_host.upstream_address,
+            bounds=quota.Bounds(
+                overage=settings.quota_overage,
+                slack=settings.quota_slack,
+                window_seconds=settings.quota_window_seconds,
+            ),
+            link_to=self._get_link,
+            start_soon=lambda *task: self._nursery.start_soon(*task),
+            read_unreachable=self._selector.unreachable_addresses,
+            random=random,
+        )
         self._answer_budget = byte_budget.ByteBudget(
             limit_bytes=int(settings.memory_bytes * ANSWER_MEMORY_RATIO)
         )
@@ -259,6 +273,7 @@
             count=metrics.count,
             on_leaving=self._on_upstream_leaving,
             known_crashes=self._crash_records,
+            quotas=self._quotas,
         )
         self._client_connections = client_connections.ClientConnections(
             handle_request=self._entry.handle_request,
@@ -271,6 +286,7 @@
             read_load=self._owner.load,
             on_position=self._on_position,
             answer_crash_records=self._answer_crash_records,
+            answer_quota=self._quotas.answer,
         )
         self._register_metrics()
 
@@ -566,6 +582,7 @@
             configuration_position=self._configuration_mirror.position,
         )
         view = self._view_builder.view
+        self._quotas.on_view_changed(view)
         self._selector.on_view_changed(view)
         self._owner.on_view_changed(view)
         if view.configuration is not previous:
@@ -600,6 +617,7 @@
         """Probe unreachable owner nodes periodically."""
         while True:
             await trio.sleep(RECONNECT_INTERVAL_SECONDS)
+            self._quotas.refresh()
             for address in self._selector.unreachable_addresses():
                 self._nursery.start_soon(
                     supervision.keep_running, self._probe_peer, address
@@ -817,6 +835,15 @@
             "answers_without_memory_total",
             lambda: self._answer_budget.refused_count,
         )
+        gauge("quota_customers", lambda: len(self._quotas.home))
+        accounts = self._quotas.accounts
+        gauge("quota_questions_total", lambda: accounts.question_count)
+        gauge("quota_refusals_total", lambda: accounts.refused_count)
+        gauge("quota_share_uses_total", lambda: accounts.share_use_count)
+        gauge(
+            "quota_nodes_reserved",
+            lambda: len(self._quotas.home.lost_addresses),
+        )
         gauge("runs_total", lambda: self._owner.run_count)
         gauge("refusals_total", lambda: self._owner.refused_count)
         gauge(
--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -113,6 +113,8 @@
     count : callable
         ``count(name)`` increments a counter; ``count(name, seconds)`` records
         a duration.
+    quotas : runtime.quotas.CustomerQuotas, optional
+        Quotas of the customers; without it there are none.
     record : callable
         ``record(action, **fields)`` writes a line of the decision log.
     """
@@ -134,6 +136,7 @@
         count,
         on_leaving=lambda upstream_id, started_ms, **source: None,
         known_crashes=None,
+        quotas=None,
         record=decisions.record,
     ):
         self._own_host = own_host
@@ -153,6 +156,7 @@
         if known_crashes is None:
             known_crashes = crash_records.CrashRecords()
         self._known_crashes = known_crashes
+        self._quotas = quotas
         self._record = record
         self._is_hedging_stopped = False
         # End of the drain, on trio's clock; infinite before one.
@@ -166,6 +170,10 @@
         self._routine_log = decisions.RateLimitedLog(
             rate=ROUTINE_LINES_PER_SECOND
         )
+        # Requests beyond a quota come in large numbers.
+        self._quota_log = decisions.RateLimitedLog(
+            rate=ROUTINE_LINES_PER_SECOND, record=record
+        )
         self._reserved_header_names = frozenset(
             {
                 header_names.deadline,
@@ -223,7 +231,7 @@
         try:
             await self._wait_for_first_view(request, started)
             call = self._make_call(request, started)
-            response = await self._route_call(call)
+            response = await self._route_within_quota(call)
         except errors.CallError as error:
             response = self._failure_response(error, call, request)
         except trio.Cancelled:
@@ -309,8 +317,28 @@
                 caller_service=self._own_host.service,
                 body=request.body,
             ),
+            customer=customer,
         )
 
+    async def _route_within_quota(self, call):
+        """Send a request to owner nodes if its customer's quota allows it.
+
+        Raises
+        ------
+        errors.CallError
+        """
+        customer = call.customer
+        quotas = self._quotas
+        if quotas is None or customer is None or not customer.rate:
+            return await self._route_call(call)
+        await quotas.acquire(customer)
+        try:
+            return await self._route_call(call)
+        except errors.CallError as error:
+            if error.outcome is errors.Outcome.NOT_RUN:
+                quotas.give_back(customer)
+            raise
+
     async def _route_call(self, call):
         """Send a request to owner nodes until it has an answer.
 
@@ -434,6 +462,13 @@
         """
         if self._is_hedging_stopped:
             return False
+        if (
+            self._quotas is not None
+            and call.customer is not None
+            and self._quotas.is_near_limit(call.customer)
+        ):
+            # Both upstreams would count towards the quota.
+            return False
         call.maximum_wait_seconds = min(
             call.maximum_wait_seconds, MAXIMUM_HEDGE_WAIT_SECONDS
         )
@@ -682,15 +717,21 @@
     def _failure_response(self, error, call, request):
         """Return the response to a request without an upstream's answer."""
         status = error.status
-        is_quarantined = isinstance(error, errors.QuarantinedError)
+        is_beyond_quota = isinstance(error, errors.QuotaExceededError)
+        keeps_status = is_beyond_quota or isinstance(
+            error, errors.QuarantinedError
+        )
         if (
             error.outcome is errors.Outcome.NOT_RUN
             and status >= 429
-            and not is_quarantined
+            and not keeps_status
         ):
             status = 503
         retry_after = None
-        if status == 503 or is_quarantined:
+        if is_beyond_quota:
+            # Spread already; an earlier retry would be refused again.
+            retry_after = error.retry_after
+        elif status == 503 or keeps_status:
             retry_after = self._retry_after_seconds(error)
         if call is None:
             self._record(
@@ -743,6 +784,8 @@
         record = self._record
         if outcome == "run" and len(call.offers) == 1:
             record = functools.partial(self._routine_log.record, now=now)
+        elif isinstance(error, errors.QuotaExceededError):
+            record = functools.partial(self._quota_log.record, now=now)
         record(
             "route",
             request_id=call.request_id,
--- a/tests/runtime/loopback.py
+++ b/tests/runtime/loopback.py
@@ -276,6 +276,7 @@
         path="/browse/1",
         method="GET",
         host="shop.example",
+        headers=(),
     ):
         """Send one request to a node and return the response."""
         stream = await tcp.open_stream(self.address(number), CLIENT_PORT)
@@ -291,6 +292,7 @@
                                 ("host", host),
                                 ("attempt-id", request_id),
                                 ("deadline-remaining", "3000"),
+                                *headers,
                             )
                         ),
                     )
