Name the customer on public routes, and the source of a refusal

Cause: a known key on a public route names a customer too, though it needs none and does not count; a refusal beyond the quota did not say which node decided it. Measured: tests/traffic/test_quota.py, test_customers.py, test_entry.py and tests/runtime/test_quotas.py pass.

--- a/shallotbridge/runtime/explain.py
+++ b/shallotbridge/runtime/explain.py
@@ -19,6 +19,7 @@
         "peer_silent",
         "platform_lost",
         "platform_regained",
+        "quota_reserved",
         "requests_barred",
         "store_era_unknown",
         "upstream_changed",
--- a/shallotbridge/runtime/quotas.py
+++ b/shallotbridge/runtime/quotas.py
@@ -167,9 +167,11 @@
         finally:
             steps.close()
         if retry_after is not None:
+            source = self.accounts.refused_by(customer)
             error = errors.QuotaExceededError(
                 f"customer {customer.name!r} exceeds its quota of "
-                f"{customer.rate:g} requests a second"
+                f"{customer.rate:g} requests a second and {customer.burst:g} "
+                f"at once, by {source or 'the share of this node'}"
             )
             error.retry_after = retry_after
             raise error
--- a/shallotbridge/traffic/customers.py
+++ b/shallotbridge/traffic/customers.py
@@ -19,17 +19,17 @@
     Returns
     -------
     model.Customer or None
-        None if requests of this route need no key.
+        None without customers, and on a public route without a known key.
 
     Raises
     ------
     errors.UnknownKeyError
     """
     customers_by_key = configuration.customers_by_key
-    if customers_by_key is None or route.is_public:
+    if customers_by_key is None:
         return None
     customer = customers_by_key.get(key)
-    if customer is None:
+    if customer is None and not route.is_public:
         found = "no key" if key is None else "an unknown key"
         raise errors.UnknownKeyError(
             f"{found}; route {route.name!r} needs the key of a customer of "
--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -320,6 +320,15 @@
             customer=customer,
         )
 
+    def _has_quota(self, call):
+        """Return whether a request counts towards a quota."""
+        return (
+            self._quotas is not None
+            and call.customer is not None
+            and call.customer.rate > 0
+            and not call.route.is_public
+        )
+
     async def _route_within_quota(self, call):
         """Send a request to owner nodes if its customer's quota allows it.
 
@@ -329,7 +338,7 @@
         """
         customer = call.customer
         quotas = self._quotas
-        if quotas is None or customer is None or not customer.rate:
+        if not self._has_quota(call):
             return await self._route_call(call)
         await quotas.acquire(customer)
         try:
@@ -462,11 +471,7 @@
         """
         if self._is_hedging_stopped:
             return False
-        if (
-            self._quotas is not None
-            and call.customer is not None
-            and self._quotas.is_near_limit(call.customer)
-        ):
+        if self._has_quota(call) and self._quotas.is_near_limit(call.customer):
             # Both upstreams would count towards the quota.
             return False
         call.maximum_wait_seconds = min(
--- a/shallotbridge/traffic/quota_accounts.py
+++ b/shallotbridge/traffic/quota_accounts.py
@@ -52,6 +52,7 @@
         "requested_at",
         "is_asking",
         "lender",
+        "refused_by",
     )
 
     def __init__(self, now):
@@ -70,6 +71,8 @@
         self.is_asking = False
         # Address of the node that lent the last token; None: own share.
         self.lender = None
+        # Address of the node that refused last; None: own share.
+        self.refused_by = None
 
     def count_request(self, now):
         elapsed = now - self.requested_at
@@ -147,6 +150,10 @@
             account.is_on_share or now < account.near_until
         )
 
+    def refused_by(self, customer):
+        """Return the node that refused last; None for the own share."""
+        return self._accounts_by_name[customer.name].refused_by
+
     def acquire(self, customer, now):
         """Get a token for one request.
 
@@ -211,6 +218,7 @@
             account.refused_until = now + grant.valid
             account.retry_at = now + grant.retry_after
             account.near_until = account.refused_until
+            account.refused_by = address
             return self._refuse(grant.retry_after)
         account.near_until = now + grant.retry_after
         account.lender = address
@@ -243,6 +251,7 @@
             account.lender = None
             self.share_use_count += 1
             return None
+        account.refused_by = None
         due = (1 - account.share_tokens) / rate
         return self._refuse(min(due, SILENCE_SECONDS))
 
