Let the soak play customers with keys and a quota

Cause: keys and quotas were tested without processes that are killed, paused and cut off. Change: two customers, one of which sends more than its quota; checks of 401, of headers at upstreams, of the quota in any window, and of keys in logs. The routes of the version probes are public. With nodes of an older build there are no customers.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -22,6 +22,8 @@
 RECONNECT_DELAY_SECONDS = 0.1
 # Each request of this number is for the other service.
 OTHER_SERVICE_REQUESTS = 10
+# Each request of this number is of the customer with a quota.
+LIMITED_REQUESTS = 9
 # Clients that repeat a harmful request, and their pause between two.
 MAXIMUM_HARMFUL_CLIENTS = 6
 HARMFUL_INTERVAL_SECONDS = (0.02, 0.3)
@@ -65,6 +67,7 @@
     reader = http1.ResponseReader(stream=stream)
     for previous_requests in range(REQUESTS_PER_CONNECTION):
         number = next(_request_numbers)
+        is_limited = number % LIMITED_REQUESTS == 0
         is_idempotent = number % 2 == 0
         call = records.Call(
             request_id=f"r{number}",
@@ -72,13 +75,23 @@
             is_idempotent=is_idempotent,
             sent_at=fleet.clock(),
             previous_requests=previous_requests,
+            is_limited=is_limited,
         )
         fleet.records.calls.append(call)
         method, path = ("GET", "browse") if is_idempotent else ("POST", "hold")
         if number % OTHER_SERVICE_REQUESTS == 0:
             path = "order"
         response = await _exchange(
-            stream, reader, method, f"/{path}/1", call.request_id
+            stream,
+            reader,
+            method,
+            f"/{path}/1",
+            call.request_id,
+            (
+                fleet_module.LIMITED_CUSTOMER
+                if is_limited
+                else fleet_module.CUSTOMER
+            ),
         )
         call.ended_at = fleet.clock()
         if response is not None:
@@ -90,13 +103,15 @@
         await trio.sleep(REQUEST_INTERVAL_SECONDS)
 
 
-async def _exchange(stream, reader, method, target, request_id):
+async def _exchange(stream, reader, method, target, request_id, customer=None):
     """Send a request; return its complete response, or None."""
     headers = (
         ("host", fleet_module.HOST_NAME),
         ("attempt-id", request_id),
         ("deadline-remaining", str(int(DEADLINE_SECONDS * 1000))),
     )
+    if customer is not None:
+        headers += (("x-api-key", fleet_module.KEYS_BY_CUSTOMER[customer]),)
     request = model.Request(
         method=method,
         target=target,
@@ -153,6 +168,7 @@
                 "GET",
                 f"{path}?number={request_id}",
                 request_id,
+                fleet_module.CUSTOMER,
             )
         finally:
             stream.close()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,8 +1,11 @@
 """Checks of the guarantees, based on records of callers and upstreams."""
 
+import bisect
 import collections
 import math
 
+from . import fleet
+
 # Limits agreed for the users' deployments. A fault excuses violations until
 # RECOVERY_LIMIT_SECONDS after its end.
 RECOVERY_LIMIT_SECONDS = 3.0
@@ -34,6 +37,7 @@
         *_find_late_runs(records),
         *_find_runs_after_leaving_answers(records),
         *_find_exceeded_limits(records),
+        *_find_customer_violations(records),
         *_find_harmful_runs(records),
         *_find_version_violations(records),
         *_find_lost_requests(records),
@@ -148,13 +152,39 @@
                 break
 
 
+def _find_customer_violations(records):
+    """Find 401 to known keys, keys at upstreams, and an exceeded quota."""
+    for call in records.calls:
+        if call.status == 401:
+            yield f"{call.request_id}: its key was not accepted"
+    yield from records.header_violations
+    if records.older_upstream_ids:
+        return
+    limited_ids = {
+        call.request_id for call in records.calls if call.is_limited
+    }
+    times = sorted(
+        run.at for run in records.runs if run.request_id in limited_ids
+    )
+    quota = fleet.QUOTA_RATE * fleet.QUOTA_WINDOW_SECONDS + fleet.QUOTA_BURST
+    allowed = quota * (1 + fleet.QUOTA_OVERAGE) + fleet.QUOTA_SLACK
+    for first, start in enumerate(times):
+        last = bisect.bisect_right(times, start + fleet.QUOTA_WINDOW_SECONDS)
+        if last - first > allowed:
+            yield (
+                f"{last - first} runs of the customer with a quota from "
+                f"{start:.2f} on; allowed: {allowed:.0f}"
+            )
+            return
+
+
 def _find_harmful_runs(records):
     """Find runs of a request that has ended upstreams, and barred others.
 
     Nodes of an older build send such a request on.
     """
     for call in records.calls:
-        if call.status == 429:
+        if call.status == 429 and not call.is_limited:
             yield f"{call.request_id}: refused as if it ended upstreams"
     if records.older_upstream_ids:
         return
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -38,6 +38,16 @@
 # Longest time from the first answer that says that an upstream is leaving to
 # the platform's news of it.
 MAXIMUM_ANNOUNCEMENT_DELAY_SECONDS = 1.5
+# Customers, unless nodes are of an older build: one without a quota, and one
+# that sends more than its quota.
+CUSTOMER = "open"
+LIMITED_CUSTOMER = "limited"
+KEYS_BY_CUSTOMER = {CUSTOMER: "soak-key-1", LIMITED_CUSTOMER: "soak-key-2"}
+QUOTA_RATE = 8.0
+QUOTA_BURST = 8.0
+QUOTA_WINDOW_SECONDS = 5.0
+QUOTA_OVERAGE = 0.25
+QUOTA_SLACK = 20.0
 LIMITS_PER_SECOND = (0.0, 1.5, 5.0, 16.9, 40.0)
 _EXIT_POLL_SECONDS = 0.05
 
@@ -62,6 +72,9 @@
 cold_slack = 5
 retry_budget_ratio = 0.2
 budget_window = "10s"
+quota_window = "5s"
+quota_overage = 0.25
+quota_slack = 20
 retry_budget_slack = 56
 """
 
@@ -265,11 +278,24 @@
             _rule("order", "idempotent", service=OTHER_SERVICE),
         ]
         rules.extend(
-            _rule(f"v{version}", "idempotent") for version in published
+            _rule(f"v{version}", "idempotent") | {"public": True}
+            for version in published
         )
+        customers = {
+            "tenants": [
+                {"name": CUSTOMER, "api_keys": [KEYS_BY_CUSTOMER[CUSTOMER]]},
+                {
+                    "name": LIMITED_CUSTOMER,
+                    "api_keys": [KEYS_BY_CUSTOMER[LIMITED_CUSTOMER]],
+                    "rate_per_s": QUOTA_RATE,
+                    "burst": QUOTA_BURST,
+                },
+            ]
+        }
         self.store.put(
             "op/config",
-            {
+            ({} if self._older else customers)
+            | {
                 "version": self.version,
                 "limits": {
                     "max_header_bytes": 16384,
@@ -390,6 +416,16 @@
 
     # Upstreams.
 
+    def _check_headers(self, request, request_id):
+        is_probe = request_id in self.records.probe_request_ids
+        if self._older is None and (
+            request.header("x-api-key") is not None
+            or (request.header("tenant-name") in KEYS_BY_CUSTOMER) is is_probe
+        ):
+            self.records.header_violations.append(
+                f"{request_id}: wrong customer, or a key, at the upstream"
+            )
+
     async def _respond(self, host, request):
         if host.crashed.is_set():
             await trio.sleep_forever()
@@ -404,6 +440,7 @@
         request_id = request.header("attempt-id")
         upstream_id = host.upstream_id
         self.records.add_run(request_id, upstream_id, self.clock())
+        self._check_headers(request, request_id)
         await trio.sleep(self._random.uniform(0.005, 0.06))
         identity = self.records.harmful_identities_by_id.get(request_id)
         if identity is not None and not host.is_leaving:
--- a/soak/records.py
+++ b/soak/records.py
@@ -20,6 +20,8 @@
         None if there was no complete response.
     previous_requests : int
         Number of earlier requests on the same connection.
+    is_limited : bool
+        Whether its customer has a quota.
     """
 
     request_id: str
@@ -30,6 +32,7 @@
     status: int | None = None
     is_own_response: bool = False
     previous_requests: int = 0
+    is_limited: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -77,6 +80,9 @@
         self.harmful_calls_by_id = {}
         self.harmful_identities_by_id = {}
         self.crashed_at_by_identity = collections.defaultdict(list)
+        # Texts on requests that came to upstreams with a key, or without the
+        # name of their customer.
+        self.header_violations = []
         # Ids of requests that probe the active version.
         self.probe_request_ids = set()
         # Upstreams beside nodes of an older build, which ignore what an
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -172,3 +172,21 @@
 def test_a_refused_bystander_is_a_violation():
     """Guards against a check that misses barred bystanders."""
     assert len(checks.find_violations(_records(_call(status=429)))) == 1
+
+
+def test_customers_are_checked():
+    """Guards against checks that miss wrong keys, headers or quotas."""
+    for changes in ({"status": 401}, {"status": 429}):
+        assert len(checks.find_violations(_records(_call(**changes)))) == 1
+    limited = [
+        _call(f"r{number}", is_limited=True, sent_at=20.0)
+        for number in range(81)
+    ]
+    run_records = _records(*limited, _call("r", is_limited=True, status=429))
+    for call in limited[:80]:
+        run_records.add_run(call.request_id, "u0-0", 20.0)
+    assert checks.find_violations(run_records) == []
+    run_records.add_run("r80", "u0-0", 20.0)
+    assert len(checks.find_violations(run_records)) == 1
+    run_records.header_violations.append("r1: key")
+    assert len(checks.find_violations(run_records)) == 2
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,9 +16,10 @@
 @pytest.mark.parametrize("seed", [101, 102, 105, *REGRESSION_SEEDS])
 def test_guarantees_hold_under_faults(seed):
     """Guards against violations of the guarantees under faults."""
-    run_records, violations, _ = run.run_seed(
+    run_records, violations, logs = run.run_seed(
         seed, seconds=12.0, hosts=4, domains=2
     )
     assert violations == []
+    assert "soak-key" not in str(logs)
     served = sum(call.status == 200 for call in run_records.calls)
     assert served > len(run_records.calls) / 2 > 0
