Let a refusal beyond the quota hold for half a second at most

Cause: a node that takes the place of a home node lends a quarter of the rate; for small customers its next token is seconds away, and its refusals would have held on after the home node is back.

--- a/shallotbridge/traffic/quota.py
+++ b/shallotbridge/traffic/quota.py
@@ -41,6 +41,9 @@
 NEAR_LIMIT_RATIO = 0.25
 # The longest time told to a refused client.
 MAXIMUM_PROMISE_SECONDS = 2.0
+# A refusal holds no longer, as tokens may be given back and a home node may
+# be reached again.
+MAXIMUM_REFUSAL_SECONDS = 0.5
 # Time after which a bucket that nobody asks for, and another node is home of,
 # is dropped.
 _UNUSED_SECONDS = 60.0
@@ -401,7 +404,10 @@
             now + MAXIMUM_PROMISE_SECONDS,
         )
         return Grant(
-            tokens=0.0, valid=due, retry_after=promised - now, share=share
+            tokens=0.0,
+            valid=min(due, MAXIMUM_REFUSAL_SECONDS),
+            retry_after=promised - now,
+            share=share,
         )
 
     def give_back(self, customer, tokens, now):
