Test pauses, successors and priorities of quotas and customers more closely

Cause: with single lines disabled (the refill for a pause, the cap by a lower burst, the spread of the times told, the deputy, the exclusion of a silent node, the second priority at the owner node) the tests still passed. Change: tests that fail with each of them; two tests that others cover are gone from test_customers.py.

--- a/tests/traffic/test_customers.py
+++ b/tests/traffic/test_customers.py
@@ -8,8 +8,6 @@
 
 import pytest
 
-from shallotbridge._generated import link
-from shallotbridge.core import errors
 from shallotbridge.peers import frames
 from shallotbridge.platform import items
 from shallotbridge.traffic import admission
@@ -79,6 +77,8 @@
         return
     sent = [name for name in offers[0].headers if name[0] == "x-customer"]
     assert sent == ([("x-customer", "acme")] if key == KEY else [])
+    assert offers[0].priority == (0 if key == KEY else 1)
+    assert offers[0].route_priority == 1
     seen = repr(lines) + repr(response) + repr(frames.encode_frame(offers[0]))
     assert key not in seen
 
@@ -187,18 +187,3 @@
     finally:
         sys.settrace(None)
     return len(steps)
-
-
-def test_errors_have_their_statuses():
-    """Guards against other statuses than callers rely on."""
-    for error_type, status in (
-        (errors.UnknownKeyError, 401),
-        (errors.QuotaExceededError, 429),
-    ):
-        assert error_type.status == status
-        assert error_type.outcome is errors.Outcome.NOT_RUN
-
-
-def test_work_of_an_older_build_has_a_default_route_priority():
-    """Guards against builds that cannot read each other's requests."""
-    assert link.Work.__struct_defaults__[-1] == 0
--- a/tests/traffic/test_owner.py
+++ b/tests/traffic/test_owner.py
@@ -213,6 +213,42 @@
         assert [one.header("x-id") for one in upstream.requests] == ["first"]
 
 
+async def test_waiting_requests_are_sent_by_both_priorities():
+    """Guards against the route's priority before that of the customer."""
+    async with _owner(slots=1) as (server, upstream):
+        upstream.can_respond = trio.Event()
+        async with trio.open_nursery() as nursery:
+
+            async def send(name, priority, route_priority):
+                count = server.in_progress
+                nursery.start_soon(
+                    server.run,
+                    work(
+                        name,
+                        priority=priority,
+                        route_priority=route_priority,
+                        remaining_ms=9000.0,
+                        objective_ms=9000.0,
+                    ),
+                )
+                while server.in_progress == count:
+                    await trio.sleep(0.005)
+
+            await send("first", 9, 9)
+            while not upstream.requests:
+                await trio.sleep(0.005)
+            await send("last", 1, 0)
+            await send("third", 0, 2)
+            await send("second", 0, 1)
+            upstream.can_respond.set()
+        assert [one.header("x-id") for one in upstream.requests] == [
+            "first",
+            "second",
+            "third",
+            "last",
+        ]
+
+
 async def test_a_request_that_waits_when_it_becomes_refused_is_not_sent():
     """Guards against copies in the queue of a request that ends upstreams."""
     records = crash_records.CrashRecords()
--- a/tests/traffic/test_quota.py
+++ b/tests/traffic/test_quota.py
@@ -176,6 +176,42 @@
     assert 0 < _drain(successor, customer, 5.0) <= 50
 
 
+def test_a_bucket_gets_nothing_for_a_pause_and_follows_its_limit():
+    """Guards against tokens that others lent, or of a higher limit."""
+    customer = fleets.make_customer(10, burst=100)
+    home, _ = _make_home()
+    _drain(home, customer, 0.0)
+    assert 8 <= _drain(home, customer, 0.9) <= 9
+    assert 9 <= _drain(home, customer, 60.0) <= 11
+    home.refresh((), 60.9)
+    lowered = fleets.make_customer(10, burst=5)
+    assert _drain(home, lowered, 60.9) == 5
+    # Each refused client is told the time of another token.
+    first, second = [
+        home.grant(lowered, tokens=1, demand=1.0, sender="b", now=60.9)
+        for _ in range(2)
+    ]
+    assert second.retry_after - first.retry_after == pytest.approx(0.1)
+
+
+def test_the_next_node_is_asked_without_an_answer():
+    """Guards against requests that wait for a frozen node again and again."""
+    customer = fleets.make_customer(10)
+    fleet = fleets.LentTokens(count=5)
+    home = fleet.home_of(customer)
+    order = fleet.nodes[home]["order"]
+    deputy = order.candidates(customer.name, {home}.__contains__)[0]
+    entry = (set(fleet.addresses) - {home, deputy}).pop()
+    accounts = fleet.nodes[entry]["accounts"]
+    steps = accounts.acquire(customer, 0.0)
+    assert next(steps).address == home
+    accounts.on_silent(home, 0.08)
+    assert steps.send((None, 0.08)).address == deputy
+    assert next(accounts.acquire(customer, 0.2)).address == deputy
+    accounts.refresh((), 0.7)
+    assert next(accounts.acquire(customer, 0.7)).address == home
+
+
 def test_tokens_are_given_back():
     """Guards against a quota that refused requests use up."""
     customer = fleets.make_customer(1, burst=1)
