Refuse a request whose customer is removed while it waits for a token

Cause: the text of the refusal looked up the account of the customer, which a new configuration may have dropped during the question; the request would have got 502 instead of 429. Change: without the account, the refusal names this node's share. Measured: the new lines of test_tokens_are_given_back fail before (KeyError) and pass.

--- a/shallotbridge/traffic/quota_accounts.py
+++ b/shallotbridge/traffic/quota_accounts.py
@@ -152,7 +152,9 @@
 
     def refused_by(self, customer):
         """Return the node that refused last; None for the own share."""
-        return self._accounts_by_name[customer.name].refused_by
+        account = self._accounts_by_name.get(customer.name)
+        # A configuration without the customer may have come meanwhile.
+        return None if account is None else account.refused_by
 
     def acquire(self, customer, now):
         """Get a token for one request.
--- a/tests/traffic/test_quota.py
+++ b/tests/traffic/test_quota.py
@@ -237,6 +237,11 @@
     assert passes()
     assert not passes()
     assert accounts.is_near_limit(customer, 0.0)
+    assert accounts.refused_by(customer) == "a"
+    accounts.prune(set())
+    # A customer that is removed while its request waits.
+    assert accounts.refused_by(customer) is None
+    assert accounts.give_back(customer, 0.0) is None
 
 
 def test_refused_clients_are_told_different_times():
