--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -22,6 +22,7 @@
 from ..core import http1_encoding
 from ..core import model as messages
 from . import crash_records
+from . import customers
 from ..distribution import positions
 from . import hedging
 from . import routing
@@ -112,6 +113,8 @@
     count : callable
         ``count(name)`` increments a counter; ``count(name, seconds)`` records
         a duration.
+    quotas : runtime.quotas.CustomerQuotas, optional
+        Quotas of the customers; without it there are none.
     record : callable
         ``record(action, **fields)`` writes a line of the decision log.
     """
@@ -133,6 +136,7 @@
         count,
         on_leaving=lambda upstream_id, started_ms, **source: None,
         known_crashes=None,
+        quotas=None,
         record=decisions.record,
     ):
         self._own_host = own_host
@@ -152,6 +156,7 @@
         if known_crashes is None:
             known_crashes = crash_records.CrashRecords()
         self._known_crashes = known_crashes
+        self._quotas = quotas
         self._record = record
         self._is_hedging_stopped = False
         # End of the drain, on trio's clock; infinite before one.
@@ -165,6 +170,10 @@
         self._routine_log = decisions.RateLimitedLog(
             rate=ROUTINE_LINES_PER_SECOND
         )
+        # Requests beyond a quota come in large numbers.
+        self._quota_log = decisions.RateLimitedLog(
+            rate=ROUTINE_LINES_PER_SECOND, record=record
+        )
         self._reserved_header_names = frozenset(
             {
                 header_names.deadline,
@@ -222,7 +231,7 @@
         try:
             await self._wait_for_first_view(request, started)
             call = self._make_call(request, started)
-            response = await self._route_call(call)
+            response = await self._route_within_quota(call)
         except errors.CallError as error:
             response = self._failure_response(error, call, request)
         except trio.Cancelled:
@@ -284,6 +293,14 @@
             if header.name not in self._reserved_header_names
         ]
         headers.append((header_names.caller_service, self._own_host.service))
+        customer = None
+        if configuration.customers_by_key is not None:
+            customer = customers.authenticate(
+                configuration, route, request.header(header_names.api_key)
+            )
+            headers = customers.replace_headers(
+                headers, customer, header_names
+            )
         return calls.Call(
             request=request,
             request_id=request_id,
@@ -300,8 +317,37 @@
                 caller_service=self._own_host.service,
                 body=request.body,
             ),
+            customer=customer,
         )
 
+    def _has_quota(self, call):
+        """Return whether a request counts towards a quota."""
+        return (
+            self._quotas is not None
+            and call.customer is not None
+            and call.customer.rate > 0
+            and not call.route.is_public
+        )
+
+    async def _route_within_quota(self, call):
+        """Send a request to owner nodes if its customer's quota allows it.
+
+        Raises
+        ------
+        errors.CallError
+        """
+        customer = call.customer
+        quotas = self._quotas
+        if not self._has_quota(call):
+            return await self._route_call(call)
+        await quotas.acquire(customer)
+        try:
+            return await self._route_call(call)
+        except errors.CallError as error:
+            if error.outcome is errors.Outcome.NOT_RUN:
+                quotas.give_back(customer)
+            raise
+
     async def _route_call(self, call):
         """Send a request to owner nodes until it has an answer.
 
@@ -425,6 +471,9 @@
         """
         if self._is_hedging_stopped:
             return False
+        if self._has_quota(call) and self._quotas.is_near_limit(call.customer):
+            # Both upstreams would count towards the quota.
+            return False
         call.maximum_wait_seconds = min(
             call.maximum_wait_seconds, MAXIMUM_HEDGE_WAIT_SECONDS
         )
@@ -602,6 +651,9 @@
         )
         peer = None if is_local else self._link_to(upstream.address)
         known_limit = self._selector.known_limit(upstream.upstream_id, now)
+        priority, route_priority = customers.priorities(
+            call.customer, call.route
+        )
         work = link.Work(
             call_id=0 if is_local else peer.next_call_id(),
             upstream_id=upstream.upstream_id,
@@ -615,13 +667,14 @@
             remaining_ms=(call.deadline_at - now) * 1000,
             objective_ms=(call.started_at + call.route.objective_seconds - now)
             * 1000,
-            priority=call.route.priority,
+            priority=priority,
             is_idempotent=call.route.is_idempotent,
             expected_ms=self._selector.expected_seconds(call.route) * 1000,
             sent_at=now,
             maximum_wait_ms=self._slot_wait_limit(call) * 1000,
             sender=own.address,
             known_limit=-1.0 if known_limit is None else known_limit,
+            route_priority=route_priority,
         )
         end_at = min(
             call.deadline_at + REPLY_MARGIN_SECONDS, self._drain_ends_at
@@ -669,15 +722,21 @@
     def _failure_response(self, error, call, request):
         """Return the response to a request without an upstream's answer."""
         status = error.status
-        is_quarantined = isinstance(error, errors.QuarantinedError)
+        is_beyond_quota = isinstance(error, errors.QuotaExceededError)
+        keeps_status = is_beyond_quota or isinstance(
+            error, errors.QuarantinedError
+        )
         if (
             error.outcome is errors.Outcome.NOT_RUN
             and status >= 429
-            and not is_quarantined
+            and not keeps_status
         ):
             status = 503
         retry_after = None
-        if status == 503 or is_quarantined:
+        if is_beyond_quota:
+            # Spread already; an earlier retry would be refused again.
+            retry_after = error.retry_after
+        elif status == 503 or keeps_status:
             retry_after = self._retry_after_seconds(error)
         if call is None:
             self._record(
@@ -730,12 +789,15 @@
         record = self._record
         if outcome == "run" and len(call.offers) == 1:
             record = functools.partial(self._routine_log.record, now=now)
+        elif isinstance(error, errors.QuotaExceededError):
+            record = functools.partial(self._quota_log.record, now=now)
         record(
             "route",
             request_id=call.request_id,
             route=call.route.name,
             service=call.service,
             version=call.version,
+            customer=call.customer and call.customer.name,
             offers=[
                 [
                     choice.upstream.upstream_id,
