Keep room for new connections when messages fill the memory

The check of an announced body came after 100 Continue. Change: messages leave 1/32 of the memory to new connections; without room for one more, idle connections are closed, else the new one is. The check comes before 100 Continue. Bodies ask for small pages only.

--- a/shallotbridge/core/body_buffer.py
+++ b/shallotbridge/core/body_buffer.py
@@ -1,5 +1,6 @@
 """Holds a large message body once, counted for as long as it exists."""
 
+import contextlib
 import mmap
 
 from . import memory_account
@@ -61,6 +62,9 @@
             min(size_hint or INITIAL_BYTES, INITIAL_BYTES),
             flags=mmap.MAP_PRIVATE | mmap.MAP_ANONYMOUS,
         )
+        # Pages of 2 MB would take more than is counted.
+        with contextlib.suppress(OSError):
+            self._mapping.madvise(mmap.MADV_NOHUGEPAGE)
         self._mapping.holder = holder
         self.size = 0
 
--- a/shallotbridge/core/http1.py
+++ b/shallotbridge/core/http1.py
@@ -192,9 +192,6 @@
             self._holder.is_waiting_for_client = was_waiting
             self._holder.progressed_at = trio.current_time()
 
-    def _check_room(self, length):
-        """Refuse a body that cannot fit, or not while others wait."""
-
     def _release(self):
         if self._held_bytes:
             self._budget.release(self._held_bytes)
@@ -302,7 +299,6 @@
         return body
 
     async def _read_large(self, length):
-        self._check_room(length)
         buffer = body_buffer.BodyBuffer(holder=self._holder, size_hint=length)
         try:
             received, self._buffer = (
@@ -533,6 +529,8 @@
                 raise self._malformed(
                     "both an upgrade and a body; allowed: one of them"
                 )
+            if (length or 0) > body_buffer.LARGE_BODY_BYTES:
+                self._check_room(length)
             if expectation and not self._buffer:
                 await self._stream.send_all(_CONTINUE)
             self._receive_deadline = trio.current_time() + BODY_TIMEOUT_SECONDS
--- a/shallotbridge/core/memory_account.py
+++ b/shallotbridge/core/memory_account.py
@@ -18,6 +18,8 @@
 # larger ones leave.
 SMALL_BYTES = 64 * 1024
 SMALL_RESERVE_RATIO = 1 / 16
+# Part of the memory that messages leave for new connections.
+CONNECTION_RESERVE_RATIO = 1 / 32
 # A connection may hold this multiple of what is left free. So each of many
 # greedy ones ends near an equal share, and one alone gets two thirds.
 SHARE_FACTOR = 2
@@ -164,7 +166,7 @@
         total = held_bytes + size
         free = self.limit_bytes - self.held_bytes - size
         if total <= SMALL_BYTES:
-            return free >= 0
+            return free >= self.limit_bytes * CONNECTION_RESERVE_RATIO
         reserve = self.limit_bytes * SMALL_RESERVE_RATIO
         return total <= SHARE_FACTOR * (free - reserve)
 
@@ -177,18 +179,25 @@
     def open_connection(self, holder, now):
         """Count a client connection; return whether it may stay.
 
-        Beyond the limit, connections for whose clients the node waits are
-        closed first: those that never had a request, the longest idle first.
+        If there are too many, or no memory for one more, connections for
+        whose clients the node waits are closed: those that never had a
+        request first, the longest idle first.
         """
-        if len(self._holders) >= self._connection_limit:
+        if not self._has_room_for_connection():
             self._close_idle()
-            if len(self._holders) >= self._connection_limit:
+            if not self._has_room_for_connection():
                 return False
         holder.progressed_at = now
         self._holders.add(holder)
         self.add(CONNECTION_BYTES)
         return True
 
+    def _has_room_for_connection(self):
+        return (
+            len(self._holders) < self._connection_limit
+            and self.held_bytes + CONNECTION_BYTES <= self.limit_bytes
+        )
+
     def close_connection(self, holder):
         """Stop counting a client connection."""
         if holder in self._holders:
@@ -198,7 +207,7 @@
     def _close_idle(self):
         idle = [each for each in self._holders if each.is_waiting_for_client]
         idle.sort(key=lambda each: (each.has_served, each.progressed_at))
-        count = 1 + int(self._connection_limit * CLOSED_CONNECTIONS_RATIO)
+        count = 1 + int(len(self._holders) * CLOSED_CONNECTIONS_RATIO)
         for holder in idle[:count]:
             self._close("connections", holder)
 
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -48,7 +48,7 @@
 # Minimum interval between two exchanges of whole tables of crash records.
 CRASH_EXCHANGE_INTERVAL_SECONDS = 2.0
 # Part of the host's memory for the answers that are being read from the
-# upstream. They are copied when they are complete.
+# upstream, so that they leave room for requests.
 ANSWER_MEMORY_RATIO = 0.25
 METRICS_PATH = "/metrics"
 # Log lines for connections that were closed to free memory or descriptors.
--- a/tests/peers/test_frames.py
+++ b/tests/peers/test_frames.py
@@ -6,6 +6,7 @@
 import pytest
 
 from shallotbridge._generated import link
+from shallotbridge.core import memory_account
 from shallotbridge.peers import frames
 
 
@@ -14,7 +15,7 @@
         self._data = data
 
     async def receive_some(self, maximum):
-        data, self._data = self._data, b""
+        data, self._data = self._data[:maximum], self._data[maximum:]
         return data
 
 
@@ -63,3 +64,49 @@
     fields[1].append("of a newer build")
     message = await _decode(fields + [7])
     assert message.load == load
+
+
+def _work(size):
+    return link.Work(
+        call_id=70_000,
+        upstream_id="u1",
+        service="shop",
+        route="r",
+        request_id="a-1",
+        method="POST",
+        target="/",
+        headers=(("host", "a"),),
+        body=bytes(size),
+        remaining_ms=1.5,
+        objective_ms=1.0,
+        priority=0,
+        is_idempotent=True,
+        expected_ms=2.0,
+        sent_at=3.0,
+        sender="10.0.0.1",
+    )
+
+
+@pytest.mark.parametrize("size", [10, 1_000_000])
+async def test_a_body_that_is_not_copied_has_the_same_frame(size):
+    """Guards against large bodies that older builds can't read."""
+    work = _work(size)
+    data = b"".join(frames.encode_parts(work))
+    assert _fields(work) == msgspec.msgpack.decode(data[4:])
+    assert int.from_bytes(data[:4], "big") == len(data) - 4
+    message = await frames.FrameReader(stream=_ByteStream(data)).read()
+    assert message == work and type(message) is link.Work
+
+
+async def test_a_body_without_memory_is_skipped_and_the_next_message_read():
+    """Guards against an owner node that ends under bodies of other nodes."""
+    account = memory_account.MemoryAccount(limit_bytes=1_000_000)
+    data = b"".join(frames.encode_parts(_work(2_000_000)))
+    data += frames.encode_frame(link.Cancel(call_id=7))
+    reader = frames.FrameReader(
+        stream=_ByteStream(data), holder=memory_account.Holder(account=account)
+    )
+    skipped = await reader.read()
+    assert (skipped.message_type, skipped.call_id) == (link.Work, 70_000)
+    assert await reader.read() == link.Cancel(call_id=7)
+    assert account.peak_bytes <= 1_000_000 and account.held_bytes == 0
--- a/tests/traffic/test_client_connections.py
+++ b/tests/traffic/test_client_connections.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from shallotbridge.core import memory_account
 from shallotbridge.core import model as messages
 from shallotbridge.traffic import client_connections
 from shallotbridge.traffic import model
@@ -12,7 +13,9 @@
 
 
 @contextlib.asynccontextmanager
-async def _serving(handle_request, limits=model.DEFAULT_CLIENT_LIMITS):
+async def _serving(
+    handle_request, limits=model.DEFAULT_CLIENT_LIMITS, account=None
+):
     """Yield the ``ClientConnections`` and an open stream to it."""
     connections = client_connections.ClientConnections(
         handle_request=handle_request,
@@ -20,6 +23,7 @@
             status=error.status, headers=(), body=b""
         ),
         read_limits=lambda: limits,
+        account=account,
     )
     async with trio.open_nursery() as nursery:
         address = await nursery.start(
@@ -147,3 +151,52 @@
     async with _serving(handle_request, limits) as (_, stream):
         await stream.send_all(b"GET / HT")
         assert b"408" in await _read_until(stream, b"\r\n\r\n")
+
+
+@pytest.mark.parametrize("field", ["content-length: 900000", "chunked"])
+async def test_a_body_without_memory_is_refused_as_not_run(field):
+    """Guards against clients whose bodies take the memory of others."""
+    account = memory_account.MemoryAccount(limit_bytes=1_000_000)
+    other = memory_account.Holder(account=account)
+    assert other.try_hold(500_000)
+    served = []
+
+    async def handle_request(request):
+        served.append(len(request.body))
+        return messages.Response(status=200, headers=(), body=b"done")
+
+    if field == "chunked":
+        field = "transfer-encoding: chunked"
+    head = f"POST /1 HTTP/1.1\r\nhost: a\r\n{field}\r\n\r\n".encode()
+    async with _serving(handle_request, account=account) as (_, stream):
+        await stream.send_all(head)
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(b"493E0\r\n" + b"x" * 300_000)
+        status = int((await _read_until(stream, b"\r\n")).split()[1])
+        assert status in (413, 503)
+        assert not served
+        assert account.peak_bytes <= 1_000_000
+    await trio.testing.wait_all_tasks_blocked(0.05)
+    assert account.held_bytes == 500_000 - memory_account.ALLOWANCE_BYTES
+
+
+@pytest.mark.parametrize("size", [10, 50_000, 700_000])
+async def test_nothing_stays_counted_after_requests(size):
+    """Guards against memory that is counted for ever."""
+    account = memory_account.MemoryAccount(limit_bytes=10_000_000)
+
+    async def handle_request(request):
+        assert account.held_bytes >= size
+        return messages.Response(
+            status=200, headers=(), body=request.body or b""
+        )
+
+    head = f"POST /1 HTTP/1.1\r\nhost: a\r\ncontent-length: {size}\r\n\r\n"
+    async with _serving(handle_request, account=account) as (_, stream):
+        for _ in range(3):
+            await stream.send_all(head.encode() + b"x" * size)
+            received = b""
+            while not received.endswith(b"x" * size):
+                received += await stream.receive_some()
+    await trio.testing.wait_all_tasks_blocked(0.05)
+    assert account.held_bytes == 0 and account.connection_count == 0
