Count unread bytes in the kernel and the cost of a request in progress

Cause: in trials with 300 to 3,500 clients at a host with 200 MB the sum of resident memory and unread bytes reached 207 MB (bodies), 249 MB (bodies of 200 KB) and 210 MB (pipelined requests whose answers nobody reads): the kernel took 128 KiB of each connection that was not read yet, and a request in progress takes 11 KB, of which 2 were counted. Change: an accepted connection receives 16 KiB at once; a larger buffer is counted and used only while a large body is received. A request in progress counts 12 KiB, an open connection 40 KiB.

--- a/shallotbridge/core/http1.py
+++ b/shallotbridge/core/http1.py
@@ -45,6 +45,9 @@
 # held: as received and as parsed.
 _FIELD_BYTES = 256
 _HEAD_COPIES = 2
+# Memory of the tasks and objects of a request in progress: measured 11 KB at
+# the entry node of a request that another node runs.
+_REQUEST_BYTES = 12 * 1024
 # Reading pauses if there is no memory. Connections without progress are closed
 # after the first time; after the second, the message is given up.
 CLOSE_STALLED_SECONDS = 0.5
@@ -101,6 +104,10 @@
 class _MessageReader:
     """Reads messages from a stream and buffers bytes of the next message."""
 
+    # What the kernel holds of a connection that is not read, besides what is
+    # counted with the connection or with the larger socket buffer.
+    _pause_bytes = 0
+
     def __init__(
         self,
         *,
@@ -174,7 +181,7 @@
         began = trio.current_time()
         account.paused_count += 1
         account.paused += 1
-        account.add(memory_account.SOCKET_BUFFER_BYTES)
+        account.add(self._pause_bytes)
         was_waiting = self._holder.is_waiting_for_client
         self._holder.is_waiting_for_client = False
         try:
@@ -188,7 +195,7 @@
                 await trio.sleep(_PAUSE_CHECK_SECONDS)
         finally:
             account.paused -= 1
-            account.add(-memory_account.SOCKET_BUFFER_BYTES)
+            account.add(-self._pause_bytes)
             self._holder.is_waiting_for_client = was_waiting
             self._holder.progressed_at = trio.current_time()
 
@@ -300,6 +307,7 @@
 
     async def _read_large(self, length):
         buffer = body_buffer.BodyBuffer(holder=self._holder, size_hint=length)
+        self._enlarge_socket_buffer()
         try:
             received, self._buffer = (
                 self._buffer[:length],
@@ -323,6 +331,14 @@
             # An exception keeps its frames, and so the buffer, for longer.
             buffer.discard()
             raise
+        finally:
+            self._restore_socket_buffer()
+
+    def _enlarge_socket_buffer(self):
+        """Let the kernel receive more at once, if there is room for it."""
+
+    def _restore_socket_buffer(self):
+        """Undo ``_enlarge_socket_buffer``."""
 
     async def _append(self, buffer, data):
         """Append received bytes to a large body when there is room."""
@@ -364,6 +380,7 @@
                 ):
                     if buffer is None:
                         buffer = body_buffer.BodyBuffer(holder=self._holder)
+                        self._enlarge_socket_buffer()
                     await self._append(buffer, parsed.body)
                     parsed.body = bytearray()
                 if parsed.is_complete:
@@ -386,6 +403,7 @@
             raise
         finally:
             parsed.body = bytearray()
+            self._restore_socket_buffer()
 
     async def _hold_chunked(self, size):
         """Count the bytes of a chunked body that is still small."""
@@ -455,6 +473,8 @@
         self._head_timeout_seconds = head_timeout_seconds
         # Header fields of the request that was read last.
         self._fields = ()
+        # Counted for a larger buffer of the socket.
+        self._socket_buffer_bytes = 0
 
     async def wait_request(self):
         """Wait for the first byte of the next request.
@@ -512,7 +532,9 @@
             raise self._malformed("the head is not a request head")
         self._fields = parsed.fields
         await self._hold_message(
-            _HEAD_COPIES * len(head) + _FIELD_BYTES * len(parsed.fields)
+            _REQUEST_BYTES
+            + _HEAD_COPIES * len(head)
+            + _FIELD_BYTES * len(parsed.fields)
         )
         version = self._check_version(parser)
         method = parser.get_method().decode("ascii")
@@ -598,6 +620,20 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             cancel_scope.cancel()
 
+    def _enlarge_socket_buffer(self):
+        # Streams in memory have no buffer in the kernel.
+        expect = getattr(self._stream, "expect_large_message", None)
+        size = memory_account.SOCKET_BUFFER_BYTES
+        if expect is not None and self._holder.try_hold(size):
+            self._socket_buffer_bytes = size
+            expect()
+
+    def _restore_socket_buffer(self):
+        if self._socket_buffer_bytes:
+            self._holder.release(self._socket_buffer_bytes)
+            self._socket_buffer_bytes = 0
+            self._stream.expect_large_message(False)
+
     def _check_room(self, length):
         """Refuse a body that cannot fit, or not while others wait.
 
@@ -666,6 +702,8 @@
         Whether the connection may be used for another request.
     """
 
+    _pause_bytes = memory_account.SOCKET_BUFFER_BYTES
+
     def __init__(
         self,
         *,
--- a/shallotbridge/core/memory_account.py
+++ b/shallotbridge/core/memory_account.py
@@ -11,9 +11,10 @@
 UNLIMITED_BYTES = 2**62
 # The allowance of a connection: bytes that are counted with it from its start,
 # so that ordinary requests always find room and change no sum.
-ALLOWANCE_BYTES = 16 * 1024
-# Memory of an open connection: its tasks and buffers, and the allowance.
-CONNECTION_BYTES = 32 * 1024
+ALLOWANCE_BYTES = 20 * 1024
+# Memory of an open connection: 10 KB for its tasks, the allowance, and what
+# the kernel receives before it is read.
+CONNECTION_BYTES = 40 * 1024
 # Connections that hold at most this much may use the part of the memory that
 # larger ones leave.
 SMALL_BYTES = 64 * 1024
@@ -38,8 +39,8 @@
 # Part of the others for client connections; the rest is for the connections
 # to other nodes, the upstream and the store.
 CLIENT_DESCRIPTOR_RATIO = 0.75
-# What the kernel holds of a connection that is not read, or whose client
-# doesn't read: the size of its socket buffers.
+# What the kernel holds of a connection that receives a large message, or whose
+# client doesn't read: the size of its larger socket buffers.
 SOCKET_BUFFER_BYTES = 128 * 1024
 # Fewer bytes than this are no progress of a connection that holds memory.
 PROGRESS_BYTES = 16 * 1024
@@ -78,7 +79,7 @@
     Examples
     --------
     >>> derive_connection_limit(200_000_000, 4100)
-    2010
+    1608
     >>> derive_connection_limit(552_000_000, 4100)
     2925
     """
--- a/shallotbridge/peers/server.py
+++ b/shallotbridge/peers/server.py
@@ -13,7 +13,7 @@
 from . import frames
 
 # Memory of a request besides its body, and of each of its header fields.
-_REQUEST_BYTES = 1024
+_REQUEST_BYTES = 6 * 1024
 _HEADER_BYTES = 256
 # When a request that found no memory may be offered again, milliseconds. Large
 # requests are received, run and answered within some tenths of a second.
@@ -63,6 +63,7 @@
     async def handle(self, stream):
         """Serve a connection until it ends, then cancel its requests."""
         self.connection_count += 1
+        stream.expect_large_message()
         holder = memory_account.Holder(account=self._account)
         writer = frames.FrameWriter(stream=stream, holder=holder)
         reader = frames.FrameReader(stream=stream, holder=holder)
--- a/shallotbridge/traffic/client_connections.py
+++ b/shallotbridge/traffic/client_connections.py
@@ -169,21 +169,18 @@
             request = None
             previous_done = done
             if is_last:
-                with connection.unread():
-                    await self._wait_for_last_answer(
-                        reader, previous_done, nursery
-                    )
+                await self._wait_for_last_answer(
+                    reader, previous_done, nursery
+                )
                 await http1.discard_input(connection.stream)
                 return
             if connection.in_flight >= MAXIMUM_PIPELINED_REQUESTS:
-                with connection.unread():
-                    await previous_done.wait()
+                await previous_done.wait()
 
     async def _answer_framing_error(self, error, connection, previous_done):
         # The traceback refers to what was read.
         error.__traceback__ = None
-        with connection.unread():
-            await previous_done.wait()
+        await previous_done.wait()
         await self._send_error_response(error, connection.stream)
 
     async def _wait_for_request(self, connection):
@@ -289,7 +286,7 @@
         holder.progressed_at = trio.current_time()
         connection.update()
         try:
-            with connection.unread():
+            with connection.unsent():
                 while data:
                     sent = await connection.stream.send_some(data)
                     holder.on_progress(sent, trio.current_time())
@@ -354,8 +351,8 @@
         )
 
     @contextlib.contextmanager
-    def unread(self):
-        """Count the socket's buffer while it is not read or not sent."""
+    def unsent(self):
+        """Count the socket's buffer while the client does not read it."""
         account = self.holder.account
         account.add(memory_account.SOCKET_BUFFER_BYTES)
         try:
--- a/shallotbridge/transports/tcp.py
+++ b/shallotbridge/transports/tcp.py
@@ -25,9 +25,13 @@
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
 # Buffers of a connection in the kernel. Without these limits they grow to
-# several megabytes each while their bytes are not read. 128 KiB carry 100
-# Mbit/s over 10 ms.
+# several megabytes each while their bytes are not read.
 SOCKET_BUFFER_BYTES = 128 * 1024
+# The same for receiving on accepted connections until a large message comes.
+# It takes what a client sends before the first acknowledgement. Hundreds of
+# clients that begin large bodies at once made 39 MB of unread bytes with the
+# larger buffer.
+INITIAL_RECEIVE_BUFFER_BYTES = 16 * 1024
 UNACKNOWLEDGED_TIMEOUT_MILLISECONDS = 3000
 
 
@@ -84,6 +88,19 @@
                 self._is_buffer_empty = 0 < len(received) < max_bytes
                 return received
 
+    def expect_large_message(self, is_expected=True):
+        """Choose how much the kernel receives before it is read."""
+        size = (
+            SOCKET_BUFFER_BYTES
+            if is_expected
+            else INITIAL_RECEIVE_BUFFER_BYTES
+        )
+        try:
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+        except OSError:
+            # The stream was closed, which the next operation reports.
+            pass
+
     async def send_some(self, data):
         """Send at least one byte; return the number of bytes sent.
 
@@ -206,9 +223,10 @@
         self._epoll.close()
 
 
-def _limit_buffers(connection):
-    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-        connection.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
+def _limit_buffers(connection, receive_bytes):
+    level = socket.SOL_SOCKET
+    connection.setsockopt(level, socket.SO_RCVBUF, receive_bytes)
+    connection.setsockopt(level, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
 
 
 async def open_stream(address, port):
@@ -222,7 +240,7 @@
     """
     connection = trio.socket.socket(_family(address), socket.SOCK_STREAM)
     try:
-        _limit_buffers(connection)
+        _limit_buffers(connection, SOCKET_BUFFER_BYTES)
         with trio.move_on_after(CONNECT_TIMEOUT_SECONDS) as scope:
             try:
                 await connection.connect((address, port))
@@ -335,7 +353,7 @@
     listener.setblocking(False)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     # Accepted connections inherit the limits.
-    _limit_buffers(listener)
+    _limit_buffers(listener, INITIAL_RECEIVE_BUFFER_BYTES)
     try:
         listener.bind((address, port))
         listener.listen(LISTEN_BACKLOG)
