Soak: clients that begin requests and never end them

Cause: the soak had no clients that nobody controls. Change: three of them for each host, beside the plan, which is unchanged. They send nothing, a head, or a part of a sized, chunked or far too large body, and hold the connection. None of it is a complete request, so the checks of runs are as before.

--- a/soak/run.py
+++ b/soak/run.py
@@ -13,6 +13,7 @@
 from . import fleet as fleet_module
 from . import plan as plan_module
 from . import records as records_module
+from . import untrusted
 
 # Time in which a killed process restarts and serves again.
 KILL_RECOVERY_SECONDS = 2.0
@@ -77,6 +78,7 @@
             for host in fleet.hosts:
                 await _wait_ready(host)
         nursery.start_soon(callers.run_callers, fleet)
+        nursery.start_soon(untrusted.run_clients, fleet, seed)
         started = clock()
         for entry in plan_module.make_plan(seed, seconds=seconds, hosts=hosts):
             await trio.sleep(max(0.0, started + entry.at - clock()))
