Log refusals for lack of memory at the owner node, and test it alone

Cause: an owner node that refused a request for lack of memory wrote no line; in the tests the entry node, of the same size, kept most bodies away from it. Change: a rate-limited line `refuse_memory`; a test whose entry node has 600 MB and passes all bodies on; the crowds and bounds of the other tests are unchanged.

--- a/shallotbridge/peers/server.py
+++ b/shallotbridge/peers/server.py
@@ -18,6 +18,8 @@
 # When a request that found no memory may be offered again, milliseconds. Large
 # requests are received, run and answered within some tenths of a second.
 _MEMORY_RETRY_AFTER_MS = 250.0
+# Log lines for such requests.
+_MEMORY_LINES_PER_SECOND = 5
 
 
 class PeerServer:
@@ -53,6 +55,9 @@
         account=None,
     ):
         self._account = account or memory_account.MemoryAccount()
+        self._memory_log = decisions.RateLimitedLog(
+            rate=_MEMORY_LINES_PER_SECOND
+        )
         self._run_work = run_work
         self._answer_pull = answer_pull
         self._read_load = read_load
@@ -156,6 +161,14 @@
 
     def _refuse(self, call_id, size, writer):
         """Refuse a request for which there is no memory."""
+        self._memory_log.record(
+            "refuse_memory",
+            trio.current_time(),
+            call_id=call_id,
+            size=size,
+            all_held_bytes=self._account.held_bytes,
+            limit_bytes=self._account.limit_bytes,
+        )
         writer.send(
             link.Refusal(
                 call_id=call_id,
--- a/tests/platform/crowd.py
+++ b/tests/platform/crowd.py
@@ -61,9 +61,13 @@
     peak_descriptors_by_service : dict
     """
 
-    def __init__(self, *, memory_mb, descriptors, body_bytes, seconds):
-        self._memory_bytes = memory_mb * 1_000_000
-        self._memory_mb = memory_mb
+    def __init__(
+        self, *, memory_mb, descriptors, body_bytes, seconds, entry_mb=None
+    ):
+        self._memory_mb_by_service = {
+            "near": entry_mb or memory_mb,
+            "far": memory_mb,
+        }
         self._descriptors = descriptors
         self._body_bytes = body_bytes
         self._seconds = seconds
@@ -102,7 +106,7 @@
                 _SETTINGS.format(
                     service=service,
                     address=address,
-                    memory_mb=self._memory_mb,
+                    memory_mb=self._memory_mb_by_service[service],
                     descriptors=self._descriptors,
                     store=self._store_address,
                 )
@@ -267,7 +271,7 @@
             )
             descriptors = self.peak_descriptors_by_service[service]
             print(f"{service}: {peak} bytes, {descriptors} descriptors")
-            assert peak <= self._memory_bytes
+            assert peak <= self._memory_mb_by_service[service] * 1_000_000
             assert descriptors <= self._descriptors - FILE_DESCRIPTORS_RESERVED
 
 
@@ -290,9 +294,9 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
-def sized(path, size, *, is_whole=False, announced=None):
+def sized(path, size, *, is_whole=False):
     """Yield a body that stops 100 bytes before its end, or all of it."""
-    yield head(path, f"content-length: {announced or size}")
+    yield head(path, f"content-length: {size}")
     left = size if is_whole else size - 100
     while left > 0:
         yield bytes(min(left, _PIECE_BYTES))
--- a/tests/platform/test_untrusted_clients.py
+++ b/tests/platform/test_untrusted_clients.py
@@ -94,6 +94,20 @@
         mesh.check()
 
 
+async def test_bodies_that_the_entry_node_takes_leave_the_owner_alive():
+    """Guards against an owner node that ends under bodies of larger hosts."""
+    async with crowd.start_mesh(
+        memory_mb=MEMORY_MB,
+        entry_mb=600,
+        descriptors=FILE_DESCRIPTORS,
+        body_bytes=BODY_BYTES,
+        seconds=UPSTREAM_SECONDS,
+    ) as mesh:
+        await mesh.crowd(CLIENTS, functools.partial(_whole, "/far/"))
+        assert await mesh.send_ordinary("/far/", b"12345") == b"5"
+        mesh.check()
+
+
 @pytest.mark.parametrize("path", ["/near/", "/far/"])
 async def test_one_body_of_the_largest_size_is_served(path):
     """Guards against limits that a client inside the published ones meets."""
