Learn the concurrency limit and the slowdown of an upstream

Change: traffic/capacity.py decides by trials of another limit; AdmissionController.slots is the smaller of the registered slots and the learned limit, and Load.slowdown is reported. Only with SHALLOTBRIDGE_CAPACITY=learned.

--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -243,6 +243,7 @@
             on_leaving=self._on_upstream_leaving,
             known_crashes=self._crash_records,
             on_crash_records_changed=self._spread_crash_records,
+            is_capacity_learned=settings.is_capacity_learned,
         )
         self._entry = entry.EntryServer(
             own_host=own_host,
@@ -798,6 +799,8 @@
         )
         gauge("slots", lambda: self._owner.load().slots)
         gauge("slots_free", lambda: self._owner.load().free)
+        gauge("slots_learned", lambda: self._owner.learned_slots)
+        gauge("upstream_slowdown", lambda: self._owner.slowdown)
         gauge("upstream_limit", self._read_limit)
         gauge(
             "upstreams_limited",
--- a/shallotbridge/traffic/admission.py
+++ b/shallotbridge/traffic/admission.py
@@ -65,6 +65,10 @@
     ----------
     is_late : bool
         Whether the request is expected to miss its objective.
+    usual_seconds : float
+        Expected duration on a typical upstream, as offered.
+    concurrency : int
+        Number of running requests at its grant, itself included.
     """
 
     __slots__ = (
@@ -79,6 +83,8 @@
         "offered_at",
         "granted_at",
         "is_late",
+        "usual_seconds",
+        "concurrency",
     )
 
     def __init__(
@@ -104,6 +110,8 @@
         self.offered_at = 0.0
         self.granted_at = None
         self.is_late = False
+        self.usual_seconds = expected_seconds
+        self.concurrency = 0
 
     def rank(self):
         """Return the sort key: by priority, then late requests last."""
@@ -123,10 +131,15 @@
         Limits the request rate while the upstream is cold.
     rate_limiter : rate_limit.RateLimiter, optional
         Limits the request rate while the upstream names a limit.
+    capacity_estimator : capacity.CapacityEstimator, optional
+        Learns a concurrency limit below the registered slots.
     """
 
-    def __init__(self, *, slots, cold_start, rate_limiter=None):
-        self.slots = slots
+    def __init__(
+        self, *, slots, cold_start, rate_limiter=None, capacity_estimator=None
+    ):
+        self._registered_slots = slots
+        self._capacity = capacity_estimator
         self._cold_start = cold_start
         if rate_limiter is None:
             rate_limiter = rate_limit.RateLimiter()
@@ -137,6 +150,22 @@
         self._mean_seconds = INITIAL_MEAN_SECONDS
         self._closed_error = None
 
+    @property
+    def slots(self):
+        """Maximum number of concurrent requests on the upstream now."""
+        if self._capacity is None:
+            return self._registered_slots
+        return min(self._registered_slots, self._capacity.limit)
+
+    def slowdown(self, now):
+        """Return the duration relative to the usual one; 0 if not known."""
+        if self._capacity is None:
+            return 0.0
+        return self._capacity.slowdown(
+            now,
+            ((ticket.route, ticket.granted_at) for ticket in self._running),
+        )
+
     @property
     def in_use(self):
         """Number of slots that are in use."""
@@ -285,6 +314,8 @@
 
         Requests that cannot finish before their deadline are refused.
         """
+        if self._capacity is not None:
+            self._capacity.advance(now)
         while self._waiting and len(self._running) < self.slots:
             if self._cold_start.seconds_until_allowed(now) > 0:
                 return
@@ -308,6 +339,7 @@
     def _grant(self, ticket, now):
         ticket.granted_at = now
         self._running.add(ticket)
+        ticket.concurrency = len(self._running)
         self._cold_start.on_sent(now)
         self._rate_limiter.on_sent(now)
         ticket.on_granted()
@@ -356,9 +388,32 @@
         elif ticket in self._waiting:
             self._waiting.remove(ticket)
 
-    def on_completed(self, ticket, now):
-        """Free the slot of a completed request and record its duration."""
+    def on_completed(self, ticket, now, is_success=True):
+        """Free the slot of a completed request and record its duration.
+
+        Parameters
+        ----------
+        ticket : Ticket
+        now : float
+        is_success : bool
+            Whether the upstream ran the request without an error; the
+            concurrency limit is learned only from such requests.
+        """
         seconds = now - ticket.granted_at
+        if (
+            is_success
+            and seconds > 0
+            and self._capacity is not None
+            and math.isinf(self._rate_limiter.rate(now))
+            and not self._cold_start.is_cold(now)
+        ):
+            self._capacity.on_completed(
+                ticket.route,
+                seconds,
+                (ticket.concurrency + len(self._running)) / 2,
+                now,
+                ticket.usual_seconds,
+            )
         mean = self._mean_seconds_by_route.get(
             ticket.route, ticket.expected_seconds
         )
@@ -378,6 +433,8 @@
 
     def resize(self, slots, now):
         """Set the number of slots to what the upstream reports."""
-        if slots != self.slots:
-            self.slots = slots
+        if slots != self._registered_slots:
+            self._registered_slots = slots
+            if self._capacity is not None:
+                self._capacity.on_registered(slots, now)
             self.dispatch(now)
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -7,6 +7,7 @@
 
 from .._generated import link
 from . import admission
+from . import capacity
 from . import cold_start
 from ..core import decisions
 from ..core import errors
@@ -53,6 +54,8 @@
 COLD_MULTIPLIER_FRACTION = 0.95
 COLD_SLACK_FRACTION = 0.5
 
+# The durations of answers from this status on say nothing about the capacity.
+_CLIENT_ERROR_STATUS = 400
 # Statuses that say that a request was not run, whatever else the answer says.
 _REFUSAL_STATUSES = frozenset({408, 421, 429})
 
@@ -92,6 +95,9 @@
     on_crash_records_changed : callable
         ``on_crash_records_changed(fingerprints)`` is called after this node
         has changed records.
+    is_capacity_learned : bool
+        Whether the concurrency limit and the slowdown of the upstream are
+        learned from its durations.
     record : callable
         ``record(action, **fields)`` writes the decision log.
     """
@@ -110,6 +116,7 @@
         answer_budget=None,
         known_crashes=None,
         on_crash_records_changed=lambda fingerprints: None,
+        is_capacity_learned=False,
         record=decisions.record,
     ):
         self._own_host = own_host
@@ -131,10 +138,17 @@
         self._record = record
         self._cold_start = cold_start.ColdStartLimiter()
         self._rate_limiter = rate_limit.RateLimiter()
+        self._capacity = None
+        if is_capacity_learned:
+            self._capacity = capacity.CapacityEstimator(
+                registered=INITIAL_SLOTS,
+                on_changed=self._on_capacity_changed,
+            )
         self._admission = admission.AdmissionController(
             slots=INITIAL_SLOTS,
             cold_start=self._cold_start,
             rate_limiter=self._rate_limiter,
+            capacity_estimator=self._capacity,
         )
         self._client = upstream_client.UpstreamClient(
             open_stream=open_stream,
@@ -262,7 +276,32 @@
         return configuration.services_by_name.get(service, _DEFAULT_SERVICE)
 
     def _begin_cold(self, seconds):
-        self._cold_start.begin(trio.current_time(), seconds, self._cold_rate())
+        now = trio.current_time()
+        self._cold_start.begin(now, seconds, self._cold_rate())
+        if self._capacity is not None:
+            self._capacity.on_cold(now + seconds)
+
+    def _on_capacity_changed(self, now, **fields):
+        self._report_log.record(
+            "capacity_limit",
+            now,
+            upstream=self._registered and self._registered.upstream_id,
+            in_use=self._admission.in_use,
+            queued=self._admission.queued,
+            **fields,
+        )
+
+    @property
+    def learned_slots(self):
+        """Slots that the upstream handles well, without regard to a trial."""
+        if self._capacity is None:
+            return self._admission.slots
+        return self._capacity.learned
+
+    @property
+    def slowdown(self):
+        """Duration relative to the service's usual one; 0 if not known."""
+        return self._admission.slowdown(trio.current_time())
 
     def _cold_rate(self):
         """Return the request rate limit of a cold upstream, per second.
@@ -350,6 +389,7 @@
             sender_count=len(self._last_sent_at_by_sender),
             leaving_id="" if departed_ms is None else departed_id,
             leaving_started_ms=departed_ms or 0,
+            slowdown=self._admission.slowdown(now),
         )
 
     @property
@@ -547,7 +587,11 @@
             self._crash_attribution.on_answered(ticket)
             self._last_answer_at = now = trio.current_time()
             is_completed = True
-            self._admission.on_completed(ticket, now)
+            self._admission.on_completed(
+                ticket,
+                now,
+                is_success=response.status < _CLIENT_ERROR_STATUS,
+            )
             return response
         except errors.UpstreamUnreachableError:
             self._crash_attribution.on_not_run(ticket)
@@ -914,6 +958,8 @@
         was_cold = self._cold_start.is_cold(now)
         if seconds is not None:
             self._cold_start.set_remaining(now, seconds, self._cold_rate())
+            if seconds > 0 and self._capacity is not None:
+                self._capacity.on_cold(now + seconds)
         elif response.status == 200:
             self._cold_start.set_remaining(now, 0.0, 0.0)
         is_cold = self._cold_start.is_cold(now)
--- /dev/null
+++ b/tests/traffic/test_capacity.py
@@ -0,0 +1,221 @@
+"""Tests of the learned concurrency limit, without a network.
+
+A discrete-time model runs requests on one upstream behind the real admission
+control. Each running request progresses at the speed of the upstream.
+"""
+
+import random
+
+import pytest
+
+from shallotbridge.core import errors
+from shallotbridge.traffic import admission
+from shallotbridge.traffic import capacity
+from shallotbridge.traffic import cold_start
+from shallotbridge.traffic import rate_limit
+
+STEP_SECONDS = 0.002
+WORK_SECONDS = 0.144
+OBJECTIVE_SECONDS = 0.477
+DEADLINE_SECONDS = 1.575
+
+
+def _simulate(
+    *,
+    slots,
+    rate,
+    speed,
+    limit=None,
+    is_learned=False,
+    seed=1,
+    seconds=40.0,
+    warm_up=3.0,
+):
+    """Return mean and p99 of the duration and the share within the objective.
+
+    ``speed(concurrency, now)`` is the progress of each running request. The
+    time before ``warm_up`` is left out. A fixed ``limit`` replaces the slots.
+    """
+    rng = random.Random(seed)
+    estimator = capacity.CapacityEstimator(registered=slots)
+    control = admission.AdmissionController(
+        slots=limit or slots,
+        cold_start=cold_start.ColdStartLimiter(),
+        capacity_estimator=estimator if is_learned else None,
+    )
+    running, durations, offered = {}, [], 0
+    now, next_at = 0.0, rng.expovariate(rate)
+    work_rng = random.Random(seed + 1)
+    while now < seconds:
+        while next_at <= now:
+            work = work_rng.gammavariate(2.0, WORK_SECONDS / 2)
+            ticket = admission.Ticket(
+                route="browse",
+                priority=1,
+                objective_at=now + OBJECTIVE_SECONDS,
+                deadline_at=now + DEADLINE_SECONDS,
+                expected_seconds=WORK_SECONDS,
+                on_granted=lambda: None,
+                on_refused=lambda error: None,
+            )
+            ticket.on_granted = lambda t=ticket, w=work: running.update({t: w})
+            offered += now >= warm_up
+            try:
+                control.offer(ticket, now)
+            except errors.CallError:
+                pass
+            next_at += rng.expovariate(rate)
+        now += STEP_SECONDS
+        progress = STEP_SECONDS * speed(len(running), now)
+        for ticket in list(running):
+            running[ticket] -= progress
+            if running[ticket] <= 0:
+                del running[ticket]
+                control.on_completed(ticket, now)
+                if ticket.offered_at >= warm_up:
+                    durations.append(now - ticket.offered_at)
+        if round(now / STEP_SECONDS) % 10 == 0:
+            control.dispatch(now)
+            control.shed_waiting_requests(now)
+    durations.sort()
+    on_time = sum(one <= OBJECTIVE_SECONDS for one in durations)
+    return (
+        sum(durations) / len(durations),
+        durations[int(len(durations) * 0.99)],
+        on_time / offered,
+        estimator,
+    )
+
+
+def _slow_from_half(slots, exponent):
+    """Return an upstream that slows down from half of its slots on."""
+    half = slots / 2
+    return lambda running, now: min(1.0, (half / max(1, running)) ** exponent)
+
+
+def _share(**options):
+    """Return the share within the objective, of two runs."""
+    return sum(_simulate(seed=seed, **options)[2] for seed in (1, 2)) / 2
+
+
+@pytest.mark.parametrize(("slots", "load"), [(5, 1.3), (9, 0.95), (9, 1.3)])
+def test_learned_limit_is_as_good_as_the_best_fixed_one(slots, load):
+    """Guards against congestion collapse of an upstream with many slots.
+
+    Pattern: the upstream slows down from half of its slots on, more than its
+    concurrency rises; ``load`` is relative to what it runs best. From 15 s on
+    the share within the objective is at least 0.95 of that of the best fixed
+    limit. With fixed slots it is below 0.75 of it.
+    """
+    options = dict(
+        slots=slots,
+        rate=load * slots / 2 / WORK_SECONDS,
+        speed=_slow_from_half(slots, 1.5),
+        seconds=75.0,
+        warm_up=15.0,
+    )
+    best = max(_share(limit=limit, **options) for limit in range(1, slots))
+    assert _share(is_learned=True, **options) >= 0.95 * best
+    assert _share(**options) < 0.75 * best
+
+
+@pytest.mark.parametrize("slots", [3, 5, 9])
+@pytest.mark.parametrize(
+    "speed",
+    [
+        lambda running, now: 1.0,
+        lambda running, now: 0.4 if now % 3.0 < 0.6 else 1.0,
+        lambda running, now: 0.2 if 30.0 <= now < 38.0 else 1.0,
+    ],
+    ids=["steady", "2.5 times slower for 0.6 s", "5 times slower for 8 s"],
+)
+def test_slow_times_are_not_mistaken_for_saturation(slots, speed):
+    """Guards against refusals because of a limit that helps nobody.
+
+    Pattern: the upstream is saturated, and its speed does not depend on the
+    concurrency.
+    """
+    options = dict(
+        slots=slots,
+        rate=0.95 * slots / WORK_SECONDS,
+        speed=speed,
+        seconds=75.0,
+        warm_up=15.0,
+    )
+    assert _share(is_learned=True, **options) >= 0.98 * _share(**options)
+
+
+def test_the_limit_rises_when_the_upstream_no_longer_slows_down():
+    """Guards against an estimate that stays low for ever."""
+    slow = _slow_from_half(9, 1.5)
+    lowered = _simulate(
+        slots=9, rate=41.0, speed=slow, is_learned=True, seconds=30.0
+    )
+    recovered = _simulate(
+        slots=9,
+        rate=41.0,
+        speed=lambda running, now: 1.0 if now > 30.0 else slow(running, now),
+        is_learned=True,
+        seconds=50.0,
+    )
+    assert lowered[3].learned <= 6
+    assert recovered[3].learned == 9
+
+
+def _complete(control, now, seconds, **options):
+    ticket = admission.Ticket(
+        route="browse",
+        priority=1,
+        objective_at=now + 9.0,
+        deadline_at=now + 9.0,
+        expected_seconds=0.1,
+        on_granted=lambda: None,
+        on_refused=lambda error: None,
+    )
+    control.offer(ticket, now)
+    control.on_completed(ticket, now + seconds, **options)
+
+
+def test_only_requests_that_ran_undisturbed_are_measured():
+    """Guards against limits on one request that mistake each other's effect.
+
+    Errors, cancelled requests, a cold start and a limit that the upstream
+    names feed no estimate; a slow completed request does.
+    """
+    estimator = capacity.CapacityEstimator(registered=3)
+    limiter = rate_limit.RateLimiter()
+    cold = cold_start.ColdStartLimiter()
+    control = admission.AdmissionController(
+        slots=3,
+        cold_start=cold,
+        rate_limiter=limiter,
+        capacity_estimator=estimator,
+    )
+    _complete(control, 0.0, 0.5, is_success=False)
+    limiter.set_limit(100.0, 1.0)
+    _complete(control, 2.0, 0.5)
+    limiter.reset()
+    cold.begin(3.0, 3.0, 5.0)
+    estimator.on_cold(6.0)
+    _complete(control, 4.0, 0.5)
+    _complete(control, 5.9, 0.5)
+    assert estimator.slowdown(6.5) == 0.0
+    _complete(control, 7.0, 0.5)
+    assert estimator.slowdown(7.5) > 2.0
+
+
+def test_slowdown_follows_running_requests_and_returns():
+    """Guards against late notice of an upstream that is 5 times slower.
+
+    Nothing completes in the first half second of a slow phase. An upstream
+    that gets no requests for some time is tried again.
+    """
+    estimator = capacity.CapacityEstimator(registered=3)
+    for index in range(20):
+        estimator.on_completed("browse", 0.1, 1.0, index * 0.1 + 1.0, 0.1)
+    running = [("browse", 3.0)] * 3
+    assert estimator.slowdown(3.1, running) < 1.1
+    assert estimator.slowdown(3.5, running) > 2.0
+    estimator.on_completed("browse", 0.8, 1.0, 4.0, 0.1)
+    assert 1.5 < estimator.slowdown(4.0) < 2.5
+    assert estimator.slowdown(24.0) < 1.05
