Step the learned limit down only after two kinds of evidence

Cause: with three slots, trials without known durations at low concurrency lowered the limit by mistake, and wrong confirmations kept it low; the slowdown varied by a quarter with the last six requests. Change: such a trial now only measures the durations at low concurrency; reductions need those first. The slowdown covers about 20 requests, and running requests count from three times their expected duration on. Measured: tests/traffic/test_capacity.py passes.

--- a/shallotbridge/traffic/capacity.py
+++ b/shallotbridge/traffic/capacity.py
@@ -22,6 +22,12 @@
 # 0.6 s at times for other reasons.
 ELEVATED_PERIODS = 3
 MAXIMUM_ELEVATED_PERIODS = 8
+# Without durations at low concurrency a trial that only measures them starts
+# after so many periods of overload, in which the requests saw this fraction of
+# the limit. Upstreams below overload have requests at low concurrency sooner
+# or later.
+BLIND_PERIODS = 12
+OVERLOAD_RATIO = 0.95
 # Duration relative to that at low concurrency from which a period counts as
 # elevated, the same for all such periods together, and the standard errors by
 # which these must exceed it.
@@ -41,7 +47,7 @@
 BLOCK_DURATION_FACTOR = 2.0
 MINIMUM_BLOCK_SECONDS = 0.2
 MAXIMUM_BLOCK_SECONDS = 1.0
-MAXIMUM_BLOCKS = 12
+MAXIMUM_BLOCKS = 16
 MAXIMUM_REDUCTION_BLOCKS = 4
 MINIMUM_TRIAL_SAMPLES = 8
 # Durations that are proportional to the concurrency (elasticity 1) show that
@@ -50,9 +56,7 @@
 CONFIRMATION_ELASTICITY = 0.6
 # Standard errors by which a reduction must exceed half of its elasticity.
 REDUCTION_CONFIDENCE = 1.0
-# The same without known durations at low concurrency.
-BLIND_REDUCTION_CONFIDENCE = 2.0
-CONFIRMATION_CONFIDENCE = 0.5
+CONFIRMATION_CONFIDENCE = 1.0
 # Standard errors by which the opposite ends a trial early.
 REJECTION_CONFIDENCE = 1.5
 # The two limits must lead to concurrencies that differ at least by this ratio.
@@ -75,11 +79,14 @@
 # The same for the service's usual duration, which other nodes tell.
 USUAL_SMOOTHING_FACTOR = 0.05
 # Weight of earlier durations in the slowdown.
-SLOWDOWN_RETENTION = 0.85
+SLOWDOWN_RETENTION = 0.95
 # Half-life of what is known about the slowdown without new durations.
 SLOWDOWN_HALF_LIFE_SECONDS = 2.0
+# A request that has not ended counts once it has taken this multiple of its
+# expected duration; two in 100 take longer without a cause.
+RUNNING_DURATION_FACTOR = 3.0
 # Number of usual durations with which the slowdown begins.
-PRIOR_WEIGHT = 0.5
+PRIOR_WEIGHT = 2.0
 
 
 class _Arm:
@@ -125,10 +132,13 @@
 class _Trial:
     """A comparison of two limits in alternating blocks of time."""
 
-    def __init__(self, *, low, high, seconds_by_route, now, reference=None):
+    def __init__(
+        self, *, low, high, seconds_by_route, now, reference, is_blind
+    ):
         self.low = low
         self.high = high
         self.reference = reference
+        self.is_blind = is_blind
         self.seconds_by_route = seconds_by_route
         # Start, whether the higher limit applies, and durations of the blocks.
         self.blocks = [(now, False, _Arm())]
@@ -197,7 +207,7 @@
     >>> estimator = CapacityEstimator(registered=3)
     >>> estimator.on_completed("browse", 0.2, 1.0, 5.0, usual_seconds=0.1)
     >>> estimator.limit, round(estimator.slowdown(5.0), 2)
-    (3, 1.67)
+    (3, 1.33)
     """
 
     def __init__(self, *, registered, on_changed=lambda now, **fields: None):
@@ -209,7 +219,6 @@
     def _reset(self):
         self.limit = self.learned = self._registered
         self._trial = None
-        self._reduction_confidence = REDUCTION_CONFIDENCE
         self._block_ends_at = math.inf
         self._next_trial_at = -math.inf
         self._interval = MINIMUM_TRIAL_INTERVAL_SECONDS
@@ -221,6 +230,7 @@
         self._period_ends_at = -math.inf
         self._period = _Arm()
         self._elevated_periods = []
+        self._overloaded_periods = 0
         self._usual_seconds_by_route = {}
         self._slowdown_total = 0.0
         self._slowdown_weight = 0.0
@@ -248,8 +258,8 @@
         ----------
         now : float
         running : iterable of (route, granted_at)
-            Requests that have not ended. They only raise the slowdown, since
-            they may take longer than until now.
+            Requests that have not ended. Long ones raise the slowdown before
+            they complete.
         """
         if self._slowdown_weight <= 0:
             return 0.0
@@ -258,14 +268,15 @@
         weight = self._slowdown_weight * retention
         total = self._slowdown_total * retention
         value = (total + PRIOR_WEIGHT) / (weight + PRIOR_WEIGHT)
+        shortest = RUNNING_DURATION_FACTOR * value
         for route, granted_at in running:
             usual = self._usual_seconds_by_route.get(route)
             if usual and granted_at >= self._cold_until:
-                total += min(
-                    (now - granted_at) / usual, MAXIMUM_RELATIVE_DURATION
-                )
-                weight += 1.0
-        return max(value, (total + PRIOR_WEIGHT) / (weight + PRIOR_WEIGHT))
+                ratio = (now - granted_at) / usual
+                if ratio > shortest:
+                    total += min(ratio, MAXIMUM_RELATIVE_DURATION)
+                    weight += 1.0
+        return (total + PRIOR_WEIGHT) / (weight + PRIOR_WEIGHT)
 
     def _update_slowdown(self, route, seconds, usual_seconds, now):
         usual = self._usual_seconds_by_route.get(route, usual_seconds)
@@ -358,7 +369,7 @@
         if len(self._elevated_periods) < ELEVATED_PERIODS:
             return False
         if self._is_low_unknown():
-            return len(self._elevated_periods) >= MAXIMUM_ELEVATED_PERIODS
+            return self._overloaded_periods >= BLIND_PERIODS
         low_count = sum(self._low_baselines[1].values())
         arm = _sum(self._elevated_periods)
         # The average of the low durations counts like this many of them.
@@ -376,9 +387,10 @@
             and now - self._confirmed_at > MAXIMUM_EVIDENCE_SECONDS
         ):
             self._set_learned(self.learned + 1, now, reason="not confirmed")
-        is_saturated = (
-            period.concurrency / period.count
-            >= SATURATION_RATIO * self.learned
+        use = period.concurrency / period.count / self.learned
+        is_saturated = use >= SATURATION_RATIO
+        self._overloaded_periods = (
+            self._overloaded_periods + 1 if use >= OVERLOAD_RATIO else 0
         )
         if is_saturated and (
             period.mean >= PERIOD_ELEVATION_RATIO or self._is_low_unknown()
@@ -391,11 +403,6 @@
             return
         if self.learned > 1 and self._is_elevated():
             reference = _sum(self._elevated_periods)
-            self._reduction_confidence = (
-                BLIND_REDUCTION_CONFIDENCE
-                if self._is_low_unknown()
-                else REDUCTION_CONFIDENCE
-            )
             low = math.ceil(self.learned / 2)
             self._begin_trial(low, self.learned, now, reference)
         elif self.learned < self._registered:
@@ -407,6 +414,7 @@
             low=low,
             high=high,
             reference=reference,
+            is_blind=reference is not None and self._is_low_unknown(),
             seconds_by_route={
                 route: self._usual_here(route)
                 for baselines in (self._any_baselines, self._low_baselines)
@@ -438,7 +446,9 @@
         if now < self._block_ends_at:
             return
         trial = self._trial
-        result = trial.compare()
+        result = None
+        if not trial.is_blind:
+            result = trial.compare()
         is_last = len(trial.blocks) >= (
             MAXIMUM_BLOCKS
             if trial.reference is None
@@ -449,7 +459,7 @@
             needed, confidence = (
                 (CONFIRMATION_ELASTICITY, CONFIRMATION_CONFIDENCE)
                 if trial.reference is None
-                else (REDUCTION_ELASTICITY, self._reduction_confidence)
+                else (REDUCTION_ELASTICITY, REDUCTION_CONFIDENCE)
             )
             if (
                 elasticity >= needed
@@ -469,7 +479,8 @@
             self._end_trial(trial.high, result, now)
 
     def _end_trial(self, chosen, result, now):
-        if result is None:
+        is_futile = self._trial.is_blind and self._is_low_unknown()
+        if result is None and not is_futile:
             self._next_trial_at = now + INCONCLUSIVE_INTERVAL_SECONDS
         elif chosen == self.learned:
             maximum = (
@@ -482,7 +493,11 @@
             self._confirmed_at = now
         else:
             self._interval = MINIMUM_TRIAL_INTERVAL_SECONDS
-            self._next_trial_at = now + self._interval
+            self._next_trial_at = now + (
+                self._interval
+                if chosen < self.learned
+                else INCONCLUSIVE_INTERVAL_SECONDS
+            )
             self._confirmed_at = now
         self._trial = None
         self._block_ends_at = math.inf
