Select upstreams by the slowdown and the slots that owner nodes report

Change: with SHALLOTBRIDGE_CAPACITY=learned the cost uses the reported slowdown and learned slots, and the reported queue time gives way to its average within the duration of a request. Without it the selection is unchanged.

--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -220,6 +220,7 @@
             own_address=own_host.address,
             own_domain=own_host.failure_domain,
             random=random,
+            is_capacity_learned=settings.is_capacity_learned,
         )
         self._traffic_splitter = routing.TrafficSplitter()
         self._crash_records = crash_records.CrashRecords(
--- a/shallotbridge/traffic/selection.py
+++ b/shallotbridge/traffic/selection.py
@@ -18,6 +18,12 @@
 SERVICE_SMOOTHING_FACTOR = 0.05
 # Assumed duration of a request on a route without measurements.
 INITIAL_DURATION_SECONDS = 0.1
+# Exponent of the slowdown that owner nodes report. All entry nodes act on the
+# same report, and with an exponent of 1 the queue that they form at a fast
+# upstream costs more than its speed gains.
+SLOWDOWN_EXPONENT = 0.5
+# Half-life of the average of the reported queue times.
+USUAL_WAIT_HALF_LIFE_SECONDS = 1.0
 # Older load reports are ignored.
 MAXIMUM_LOAD_AGE_SECONDS = 2.0
 # An upstream in another failure domain must be faster by at least this much.
@@ -82,6 +88,8 @@
         Limit in requests per second that its last answer named.
     paced_until : float
         Time at which this node's requests fit its share of the limit.
+    usual_wait : float
+        Average of the reported queue times, seconds.
     """
 
     load: object = None
@@ -96,6 +104,7 @@
     named_limit: float | None = None
     named_at: float = 0.0
     paced_until: float = 0.0
+    usual_wait: float = 0.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -156,9 +165,15 @@
     own_domain : str
         Failure domain of this node.
     random : random.Random
+    is_capacity_learned : bool
+        Whether the cost uses the slowdown and the learned slots that owner
+        nodes report.
     """
 
-    def __init__(self, *, own_address, own_domain, random):
+    def __init__(
+        self, *, own_address, own_domain, random, is_capacity_learned=False
+    ):
+        self._is_capacity_learned = is_capacity_learned
         self._own_address = own_address
         self._own_domain = own_domain
         self._random = random
@@ -277,7 +292,14 @@
             state = self._state(upstream_id)
             if state.is_unreachable or state.excluded_until > now:
                 continue
-            wait = self._expected_wait(state, upstream, run_seconds, now)
+            slowdown, failure_ratio = self._decayed_averages(state, now)
+            if self._is_capacity_learned:
+                slowdown = self._reported_slowdown(state, slowdown, now)
+                wait = self._forecast_wait(
+                    state, upstream, run_seconds * slowdown, now
+                )
+            else:
+                wait = self._expected_wait(state, upstream, run_seconds, now)
             limit, is_enforced = self._limit(state, now)
             if limit is not None:
                 pace_wait = max(
@@ -299,7 +321,6 @@
             if wait > maximum_wait_seconds:
                 continue
             best.candidates += 1
-            slowdown, failure_ratio = self._decayed_averages(state, now)
             cost = (
                 wait
                 + run_seconds * slowdown
@@ -357,6 +378,8 @@
         ):
             excess = state.outstanding - slots
             return max(0.0, (excess + 1) * run_seconds / slots)
+        if self._is_capacity_learned:
+            slots = max(1, load.slots)
         wait = load.wait_ms / 1000
         if 0 <= load.limit < math.inf:
             # Time alone ends the wait for a rate limit.
@@ -368,6 +391,48 @@
             excess += 1
         return wait + max(0, excess) * run_seconds / slots
 
+    @staticmethod
+    def _reported_slowdown(state, measured, now):
+        """Return the slowdown that the owner node reports.
+
+        Without a recent report, or one of an older build, it is what this
+        node measured.
+        """
+        load = state.load
+        if (
+            load is None
+            or load.slowdown <= 0
+            or now - state.load_received_at > MAXIMUM_LOAD_AGE_SECONDS
+        ):
+            return measured
+        return load.slowdown**SLOWDOWN_EXPONENT
+
+    def _forecast_wait(self, state, upstream, run_seconds, now):
+        """Return the expected queue time, with regard to the report's age.
+
+        What a report says about the queue is outdated after about the
+        duration of a request. The average of the earlier reports tells more
+        then.
+
+        Parameters
+        ----------
+        state : _UpstreamState
+        upstream : model.Upstream
+        run_seconds : float
+            Expected duration on this upstream.
+        now : float
+        """
+        load = state.load
+        age = now - state.load_received_at
+        if load is None or age > MAXIMUM_LOAD_AGE_SECONDS:
+            return self._expected_wait(state, upstream, run_seconds, now)
+        if 0 <= load.limit < math.inf:
+            # The wait is for the limit, not for a slot.
+            return self._expected_wait(state, upstream, run_seconds, now)
+        weight = 0.5 ** (age / run_seconds)
+        reported = self._expected_wait(state, upstream, run_seconds, now)
+        return weight * reported + (1 - weight) * state.usual_wait
+
     def _limit(self, state, now):
         """Return the limit of an upstream and whether its owner enforces it.
 
@@ -472,6 +537,8 @@
         if upstream_id is None:
             return
         state = self._state(upstream_id)
+        if self._is_capacity_learned:
+            self._update_usual_wait(state, load, now)
         state.load = load
         state.load_received_at = now
         state.sent_since_load = 0
@@ -479,6 +546,14 @@
             0.0 if load.is_open else now + CLOSED_COOLDOWN_SECONDS
         )
 
+    def _update_usual_wait(self, state, load, now):
+        """Update the average of the reported queue times with a report."""
+        age = now - state.load_received_at
+        weight = 1.0
+        if state.load is not None:
+            weight = 1 - 0.5 ** (age / USUAL_WAIT_HALF_LIFE_SECONDS)
+        state.usual_wait += weight * (load.wait_ms / 1000 - state.usual_wait)
+
     def on_instance_mismatch(self, upstream_id, now):
         """Exclude an upstream for a cooldown: its host runs another one."""
         self._state(upstream_id).excluded_until = (
