Log the slowdown that a selection assumed, and explain learned limits

Cause: the log did not show the slowdown that a selection was based on, nor did `explain` show changes of the limit. Change: a sixth element of each offer in `route` with learned capacity; `capacity_limit` is a state change that `explain` prints. Tests of the owner node and the selection: refusals feed no estimate, a replaced upstream starts again, old reports and those of older builds do not count. Measured: pytest tests/traffic/test_owner.py tests/traffic/test_selection.py tests/traffic/test_entry.py tests/runtime/test_explain.py: passes.

--- a/shallotbridge/runtime/explain.py
+++ b/shallotbridge/runtime/explain.py
@@ -28,6 +28,7 @@
         "upstream_kept",
         "upstream_leaving",
         "upstream_limit",
+        "capacity_limit",
         "upstream_open",
         "upstream_removed",
     }
--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -747,6 +747,11 @@
                         else round(choice.load_age * 1000)
                     ),
                     choice.limit,
+                    *(
+                        ()
+                        if choice.slowdown is None
+                        else (round(choice.slowdown, 2),)
+                    ),
                 ]
                 for choice in call.offers
             ],
--- a/shallotbridge/traffic/selection.py
+++ b/shallotbridge/traffic/selection.py
@@ -122,6 +122,8 @@
     skipped_wait : float
         Shortest time until the limit of a skipped upstream allows a request,
         seconds.
+    slowdown : float
+        Factor of the route's duration at the upstream.
     """
 
     upstream: object = None
@@ -129,6 +131,7 @@
     wait: float = 0.0
     candidates: int = 0
     skipped_wait: float = math.inf
+    slowdown: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -146,6 +149,9 @@
         Age of the owner node's load report, seconds; None without a report.
     limit : float or None
         Limit of the upstream that the selection assumed, requests per second.
+    slowdown : float or None
+        Factor of the route's duration that the selection assumed; None unless
+        capacity is learned.
     """
 
     upstream: object
@@ -153,6 +159,7 @@
     expected_wait: float
     load_age: float | None
     limit: float | None = None
+    slowdown: float | None = None
 
 
 class Selector:
@@ -273,6 +280,7 @@
                 None if state.load is None else now - state.load_received_at
             ),
             limit=self._limit(state, now)[0],
+            slowdown=best.slowdown if self._is_capacity_learned else None,
         )
 
     def _update_best(
@@ -333,6 +341,7 @@
                 best.upstream = upstream
                 best.cost = cost
                 best.wait = wait
+                best.slowdown = slowdown
 
     def _subset(self, upstreams):
         """Return the subset of a service's upstreams that this node uses.
--- a/tests/traffic/test_owner.py
+++ b/tests/traffic/test_owner.py
@@ -669,3 +669,18 @@
                 await trio.sleep(0.01)
         assert server.load().is_open is not is_leaving
         assert server.load().leaving_id == ("u1" if is_leaving else "")
+
+
+async def test_learned_capacity_ignores_refusals_and_ends_with_upstream():
+    """Guards against estimates fed by refusals or kept for a replacement."""
+    async with _owner(slots=3, is_capacity_learned=True) as (server, upstream):
+        assert server.load().slowdown == 0.0
+        upstream.refuses = True
+        await _run_many(server, 2)
+        assert server.load().slowdown == 0.0
+        upstream.refuses = False
+        await _run_many(server, 2)
+        assert server.load().slowdown > 0.0
+        server.on_view_changed(_view(_entry(started_ms=5)))
+        assert server.load().slowdown == 0.0
+        assert server.load().slots == server.learned_slots == 1
--- a/tests/traffic/test_selection.py
+++ b/tests/traffic/test_selection.py
@@ -4,6 +4,7 @@
 import math
 import random
 
+import msgspec
 import pytest
 
 from shallotbridge._generated import link
@@ -341,3 +342,28 @@
     selector.on_self_report("u1", self_report.NO_REPORT, 1.0, 1.2)
     assert selector.known_limit("u1", 1.2) == 20.0
     assert selector.known_limit("u1", 60.0) is None
+
+
+@pytest.mark.parametrize(
+    ("slowdowns", "now", "expected"),
+    [
+        ((2.5, 1.0), 0.5, {"u2"}),
+        ((2.5, 1.0), 2.5, {"u1", "u2"}),
+        ((0.0, 0.0), 0.5, {"u1", "u2"}),
+    ],
+    ids=["recent", "too old", "of an older build"],
+)
+def test_only_recent_reports_of_a_slowdown_count(slowdowns, now, expected):
+    """Guards against avoiding an upstream for what it was long ago."""
+    pair = [builders.upstream(1), builders.upstream(2)]
+    selector = selection.Selector(
+        own_address="10.0.0.9",
+        own_domain="a",
+        random=random.Random(1),
+        is_capacity_learned=True,
+    )
+    selector.on_view_changed(builders.view(None, *pair))
+    for one, slowdown in zip(pair, slowdowns):
+        load = msgspec.structs.replace(_load(free=4), slowdown=slowdown)
+        selector.on_load_report(one.address, load, 0.0)
+    assert {_choose(selector, pair, now) for _ in range(50)} == expected
