Lower the limit only if blocks of both limits agree in turn

Change: a trial of a lower limit alternates like one of a higher limit, is short, and needs three blocks in succession that agree. Tests of routes of different length with waits for calls, and of the target of 0.95 of the best fixed limit.

--- a/shallotbridge/traffic/capacity.py
+++ b/shallotbridge/traffic/capacity.py
@@ -46,16 +46,21 @@
 # bounds. A request granted in one block should mostly run in it.
 BLOCK_DURATION_FACTOR = 2.0
 MINIMUM_BLOCK_SECONDS = 0.2
-MAXIMUM_BLOCK_SECONDS = 1.0
+MAXIMUM_BLOCK_SECONDS = 0.5
+# Most blocks of a trial of a higher limit, of one that only measures, and of
+# one of a lower limit, which costs callers most when it is needless.
 MAXIMUM_BLOCKS = 16
-MAXIMUM_REDUCTION_BLOCKS = 4
+MAXIMUM_BLIND_BLOCKS = 4
+MAXIMUM_REDUCTION_BLOCKS = 5
 MINIMUM_TRIAL_SAMPLES = 8
+# A lower limit is chosen only if so many blocks in succession agree.
+MINIMUM_CONSISTENT_BLOCKS = 3
 # Durations that are proportional to the concurrency (elasticity 1) show that
 # the higher limit gains no throughput.
 REDUCTION_ELASTICITY = 0.6
 CONFIRMATION_ELASTICITY = 0.6
 # Standard errors by which a reduction must exceed half of its elasticity.
-REDUCTION_CONFIDENCE = 1.0
+REDUCTION_CONFIDENCE = 1.5
 CONFIRMATION_CONFIDENCE = 1.0
 # Standard errors by which the opposite ends a trial early.
 REJECTION_CONFIDENCE = 1.5
@@ -133,11 +138,11 @@
     """A comparison of two limits in alternating blocks of time."""
 
     def __init__(
-        self, *, low, high, seconds_by_route, now, reference, is_blind
+        self, *, low, high, seconds_by_route, now, is_reduction, is_blind
     ):
         self.low = low
         self.high = high
-        self.reference = reference
+        self.is_reduction = is_reduction
         self.is_blind = is_blind
         self.seconds_by_route = seconds_by_route
         # Start, whether the higher limit applies, and durations of the blocks.
@@ -148,7 +153,7 @@
         return self.high if self.blocks[-1][1] else self.low
 
     def begin_block(self, now):
-        is_high = self.reference is None and not self.blocks[-1][1]
+        is_high = not (self.is_blind or self.blocks[-1][1])
         self.blocks.append((now, is_high, _Arm()))
 
     def add(self, route, seconds, concurrency, now):
@@ -167,7 +172,7 @@
 
         The newest block is left out: its long requests have not ended.
         """
-        low, high = _Arm(), self.reference or _Arm()
+        low, high = _Arm(), _Arm()
         for _, is_high, arm in self.blocks[:-1]:
             (high if is_high else low).add_all(arm)
         if min(low.count, high.count) < MINIMUM_TRIAL_SAMPLES:
@@ -183,6 +188,21 @@
             low.count + high.count,
         )
 
+    def is_consistent(self):
+        """Return whether each block agrees with its neighbors.
+
+        A change of the upstream that coincides with one block does not look
+        like an effect of the limit in all of them.
+        """
+        means = [
+            arm.mean if is_high else -arm.mean
+            for _, is_high, arm in self.blocks[:-1]
+            if arm.count
+        ]
+        return len(means) >= MINIMUM_CONSISTENT_BLOCKS and all(
+            first + second > 0 for first, second in zip(means, means[1:])
+        )
+
 
 class CapacityEstimator:
     """Learns the concurrency limit and the slowdown of one upstream.
@@ -318,7 +338,7 @@
         mean = self._mean_seconds or seconds
         self._mean_seconds = mean + SMOOTHING_FACTOR * (seconds - mean)
         low_limit = max(1.0, self.learned * LOW_RATIO)
-        if self._trial is not None and self._trial.reference is not None:
+        if self._trial is not None and self._trial.is_reduction:
             low_limit = self._trial.low
         is_low = concurrency <= low_limit
         usual = self._update_baseline(route, seconds, is_low)
@@ -402,19 +422,19 @@
         if not is_saturated or now < self._next_trial_at:
             return
         if self.learned > 1 and self._is_elevated():
-            reference = _sum(self._elevated_periods)
             low = math.ceil(self.learned / 2)
-            self._begin_trial(low, self.learned, now, reference)
+            self._begin_trial(low, self.learned, now)
         elif self.learned < self._registered:
             high = min(self._registered, self.learned * 2)
             self._begin_trial(self.learned, high, now)
 
-    def _begin_trial(self, low, high, now, reference=None):
+    def _begin_trial(self, low, high, now):
+        is_reduction = low < self.learned
         self._trial = _Trial(
             low=low,
             high=high,
-            reference=reference,
-            is_blind=reference is not None and self._is_low_unknown(),
+            is_reduction=is_reduction,
+            is_blind=is_reduction and self._is_low_unknown(),
             seconds_by_route={
                 route: self._usual_here(route)
                 for baselines in (self._any_baselines, self._low_baselines)
@@ -450,20 +470,25 @@
         if not trial.is_blind:
             result = trial.compare()
         is_last = len(trial.blocks) >= (
-            MAXIMUM_BLOCKS
-            if trial.reference is None
-            else MAXIMUM_REDUCTION_BLOCKS
+            MAXIMUM_BLIND_BLOCKS
+            if trial.is_blind
+            else (
+                MAXIMUM_REDUCTION_BLOCKS
+                if trial.is_reduction
+                else MAXIMUM_BLOCKS
+            )
         )
         if result is not None:
             elasticity, error, _ = result
             needed, confidence = (
-                (CONFIRMATION_ELASTICITY, CONFIRMATION_CONFIDENCE)
-                if trial.reference is None
-                else (REDUCTION_ELASTICITY, REDUCTION_CONFIDENCE)
+                (REDUCTION_ELASTICITY, REDUCTION_CONFIDENCE)
+                if trial.is_reduction
+                else (CONFIRMATION_ELASTICITY, CONFIRMATION_CONFIDENCE)
             )
             if (
                 elasticity >= needed
                 and elasticity - confidence * error > needed / 2
+                and (not trial.is_reduction or trial.is_consistent())
             ):
                 self._end_trial(trial.low, result, now)
                 return
@@ -473,7 +498,7 @@
             self._start_block(now)
         elif result is None:
             self._end_trial(self.learned, result, now)
-        elif trial.reference is None and result[0] >= REDUCTION_ELASTICITY:
+        elif not trial.is_reduction and result[0] >= needed:
             self._end_trial(trial.low, result, now)
         else:
             self._end_trial(trial.high, result, now)
--- a/tests/traffic/test_capacity.py
+++ b/tests/traffic/test_capacity.py
@@ -30,6 +30,8 @@
     seed=1,
     seconds=40.0,
     warm_up=3.0,
+    works=(WORK_SECONDS,),
+    call_seconds=lambda now: 0.0,
 ):
     """Return mean and p99 of the duration and the share within the objective.
 
@@ -48,17 +50,22 @@
     work_rng = random.Random(seed + 1)
     while now < seconds:
         while next_at <= now:
-            work = work_rng.gammavariate(2.0, WORK_SECONDS / 2)
+            mean = works[0]
+            if len(works) > 1:
+                mean = work_rng.choice(works)
+            work = work_rng.gammavariate(2.0, mean / 2)
             ticket = admission.Ticket(
-                route="browse",
+                route=f"work-{mean}",
                 priority=1,
                 objective_at=now + OBJECTIVE_SECONDS,
                 deadline_at=now + DEADLINE_SECONDS,
-                expected_seconds=WORK_SECONDS,
+                expected_seconds=mean,
                 on_granted=lambda: None,
                 on_refused=lambda error: None,
             )
-            ticket.on_granted = lambda t=ticket, w=work: running.update({t: w})
+            ticket.on_granted = lambda t=ticket, w=work: running.update(
+                {t: [w, call_seconds(t.granted_at)]}
+            )
             offered += now >= warm_up
             try:
                 control.offer(ticket, now)
@@ -68,8 +75,12 @@
         now += STEP_SECONDS
         progress = STEP_SECONDS * speed(len(running), now)
         for ticket in list(running):
-            running[ticket] -= progress
-            if running[ticket] <= 0:
+            left = running[ticket]
+            if left[1] > 0:
+                left[1] -= STEP_SECONDS
+                continue
+            left[0] -= progress
+            if left[0] <= 0:
                 del running[ticket]
                 control.on_completed(ticket, now)
                 if ticket.offered_at >= warm_up:
@@ -98,26 +109,45 @@
     return sum(_simulate(seed=seed, **options)[2] for seed in (1, 2)) / 2
 
 
-@pytest.mark.parametrize(("slots", "least"), [(3, 0.85), (5, 0.88), (9, 0.95)])
-def test_learned_limit_is_nearly_as_good_as_the_best_fixed_one(slots, least):
-    """Guards against congestion collapse of an upstream with many slots.
+def _compare_with_best(slots, load):
+    """Return shares with learned, fixed and the best fixed limit.
 
-    Pattern: the upstream slows down from half of its slots on, more than its
-    concurrency rises; 0.95 of what it runs best arrives. From 15 s on the
-    share within the objective is compared with the best fixed limit. Fixed
-    slots reach less than 0.82 of it. With few slots the durations of too few
-    requests tell the difference.
+    The upstream slows down from half of its slots on, more than its
+    concurrency rises; ``load`` is relative to what it runs best.
     """
     options = dict(
         slots=slots,
-        rate=0.95 * slots / 2 / WORK_SECONDS,
+        rate=load * slots / 2 / WORK_SECONDS,
         speed=_slow_from_half(slots, 1.5),
         seconds=75.0,
         warm_up=15.0,
     )
-    best = max(_share(limit=limit, **options) for limit in range(1, slots))
-    assert _share(is_learned=True, **options) >= least * best
-    assert _share(**options) < 0.82 * best
+    return (
+        _share(is_learned=True, **options),
+        _share(**options),
+        max(_share(limit=limit, **options) for limit in range(1, slots)),
+    )
+
+
+@pytest.mark.parametrize("slots", [3, 5, 9])
+def test_learned_limit_is_as_good_as_the_best_fixed_one(slots):
+    """Guards against congestion collapse of an upstream with many slots.
+
+    From 15 s on the share within the objective is at least 0.95 of that of
+    the best fixed limit, which is found by search.
+    """
+    learned, fixed, best = _compare_with_best(slots, 0.95)
+    assert fixed < 0.82 * best
+    assert learned >= 0.95 * best
+
+
+@pytest.mark.parametrize(
+    ("slots", "load", "gain"), [(5, 1.3, 1.05), (9, 0.95, 1.25), (9, 1.3, 1.4)]
+)
+def test_learned_limit_is_better_than_fixed_slots(slots, load, gain):
+    """Guards against congestion collapse that nothing ends."""
+    learned, fixed, _ = _compare_with_best(slots, load)
+    assert learned >= gain * fixed
 
 
 @pytest.mark.parametrize("slots", [3, 5, 9])
@@ -146,21 +176,38 @@
     assert _share(is_learned=True, **options) >= least * _share(**options)
 
 
+@pytest.mark.parametrize("slots", [3, 9])
+def test_slow_routes_and_waits_for_calls_are_not_saturation(slots):
+    """Guards against a limit because of work that is done elsewhere.
+
+    Pattern: fast and slow routes, and for half of the time each request waits
+    0.3 s for calls that the upstream makes through the mesh. The best limit
+    is the registered slots.
+    """
+    options = dict(
+        slots=slots,
+        rate=0.8 * slots / 0.32,
+        speed=lambda running, now: 1.0,
+        works=(0.056, 0.056, 0.344),
+        call_seconds=lambda now: 0.3 if now % 10.0 < 5.0 else 0.0,
+        seconds=75.0,
+        warm_up=15.0,
+    )
+    assert _share(is_learned=True, **options) >= 0.95 * _share(**options)
+
+
 def test_the_limit_rises_when_the_upstream_no_longer_slows_down():
     """Guards against an estimate that stays low for ever.
 
-    The upstream no longer slows down from 30 s on.
+    The upstream no longer slows down from 50 s on, while requests wait.
     """
     slow = _slow_from_half(9, 1.5)
-    lowered = _simulate(
-        slots=9, rate=41.0, speed=slow, is_learned=True, seconds=30.0
-    )
+    options = dict(slots=9, rate=41.0, is_learned=True)
+    lowered = _simulate(speed=slow, seconds=50.0, **options)
     recovered = _simulate(
-        slots=9,
-        rate=41.0,
-        speed=lambda running, now: 1.0 if now > 30.0 else slow(running, now),
-        is_learned=True,
-        seconds=75.0,
+        speed=lambda running, now: 1.0 if now > 50.0 else slow(running, now),
+        seconds=95.0,
+        **options,
     )
     assert lowered[3].learned <= 6
     assert recovered[3].learned == 9
