Move the model of overload to bench and test the wiring

Cause: the model that the figures come from could not be run by itself, and no test covered the setting in a node and the number of offers. Change: bench/overload.py is the model, `python -m bench.overload` prints the table; tests of the setting on loopback and of the offers in an entry node; comments state the measured figures. Measured: `pytest tests/traffic/test_entry.py tests/runtime/test_node.py tests/traffic/test_overload.py tests/traffic/test_call_graph.py`: all pass. Conclusion: the figures can be repeated.

--- a/tests/traffic/overload_model.py
+++ b/bench/overload.py
@@ -1,12 +1,15 @@
-"""A fleet without a network: real entry and owner nodes, simulated upstreams.
+"""Who is served under overload, with and without the overload control.
 
-Time is simulated. The clients and upstreams follow section 3 of
-docs/design/overview.md.
+A fleet without a network: real entry and owner nodes, simulated upstreams and
+time. The clients and upstreams follow section 3 of docs/design/overview.md.
+``python -m bench.overload`` prints the table of docs/design/overload.md.
 """
 
 import collections
+import itertools
 import math
 import random
+import statistics
 import typing
 from unittest import mock
 
@@ -316,3 +319,100 @@
         mock.patch.object(trio_run, "_r", random.Random(1)),
     ):
         return trio.run(main, clock=clock)
+
+
+HOSTS = [("a", 5)] * 4 + [("b", 5)] * 4
+# For each case: kinds, hosts, and how the load and the upstreams change.
+CASES = {
+    "waves, one upstream lost": (
+        with_rates(browse=50, order=25, report=15, look=330),
+        HOSTS,
+        {"factor": wave, "lost_at": 4.0, "lost": ["10.0.0.9"]},
+    ),
+    "bursts, one upstream lost": (
+        with_rates(browse=55, order=30, report=25, look=75),
+        HOSTS,
+        {"factor": burst, "lost_at": 6.0, "lost": ["10.0.0.9"]},
+    ),
+    "one of two upstreams left": (
+        with_rates(browse=50, order=25, report=15, look=60),
+        [("a", 5)] * 4 + [("b", 3)] * 2,
+        {
+            "factor": lambda time: 1.0,
+            "lost_at": 3.0,
+            "lost": ["10.0.0.7"],
+        },
+    ),
+    "one of three upstreams left": (
+        with_rates(
+            {**KINDS, "urgent": URGENT},
+            browse=110,
+            urgent=80,
+            report=28,
+        ),
+        [("a", 12)] * 4 + [("b", 12)] * 3,
+        {
+            "factor": lambda time: 1.0,
+            "lost_at": 2.0,
+            "lost": ["10.0.0.7", "10.0.0.8"],
+        },
+    ),
+    "waves": (
+        with_rates(browse=55, order=30, report=25, look=75),
+        HOSTS,
+        {"factor": wave, "lost_at": 8.0, "lost": ["10.0.0.9"]},
+    ),
+    "low load": (
+        with_rates(browse=55, order=30, report=25, look=75),
+        HOSTS,
+        {"factor": lambda time: 0.5},
+    ),
+}
+
+
+def measure(case, is_enabled, seed=1):
+    """Return a fleet after a case."""
+    kinds, hosts, changes = CASES[case]
+    return run(
+        kinds=kinds,
+        hosts=hosts,
+        is_enabled=is_enabled,
+        seed=seed,
+        seconds=13.0,
+        **changes,
+    )
+
+
+def main():
+    """Print the results of all cases, means of three seeds."""
+    for case, is_enabled in itertools.product(CASES, (False, True)):
+        fleets = [measure(case, is_enabled, seed) for seed in (1, 2, 3)]
+        kinds = fleets[0].kinds
+        callers = [
+            sum(
+                fleet.results[name].total()
+                - fleet.results[name]["refused_twice"]
+                for name, kind in kinds.items()
+                if kind.rate
+            )
+            for fleet in fleets
+        ]
+        figures = {
+            "worth": [fleet.value() for fleet in fleets],
+            "offers": [fleet.offers for fleet in fleets],
+            "refused_twice": [
+                sum(each["refused_twice"] for each in fleet.results.values())
+                for fleet in fleets
+            ],
+        }
+        print(case, "outcome" if is_enabled else "basic", end=":")
+        for name, values in figures.items():
+            print(f" {name}={sum(values) / sum(callers):.3f}", end="")
+        for name in kinds:
+            share = statistics.mean(fleet.share(name) for fleet in fleets)
+            print(f" {name}={share:.3f}", end="")
+        print()
+
+
+if __name__ == "__main__":
+    main()
--- a/shallotbridge/traffic/call.py
+++ b/shallotbridge/traffic/call.py
@@ -96,7 +96,7 @@
 
         A late response to a call of an upstream is of use to its parent. With
         the deadline in place of the factor, calls were served so late that 11
-        in 100 parents missed their objective in the tests' model.
+        in 100 parents missed their objective in bench/overload.py.
         """
         if self.is_upstream_call:
             return min(
--- a/shallotbridge/traffic/call_graph.py
+++ b/shallotbridge/traffic/call_graph.py
@@ -21,8 +21,8 @@
 from ..core import decisions
 
 # Priority of calls at owner nodes, that of the most urgent clients. Above
-# those, calls made 10 in 100 of them late in the tests' model; at their own
-# priority, 35 in 100 calls of a service that had lost an upstream failed.
+# those, calls made 10 in 100 of them late in bench/overload.py; at their own
+# priority, 16 in 100 calls of a service that had lost an upstream failed.
 CALL_PRIORITY = 0
 # Number of arrivals over which the rate of a route is averaged. It extends
 # over several waves of the load for all but the busiest routes.
@@ -55,7 +55,8 @@
 RESULT_HALF_LIFE_SECONDS = 2.0
 # K of the throttling: calls that are offered per call that is served. Above 1
 # it keeps up a surplus of calls that shows when the service has room again.
-# 2, the value of the source, wastes half of the slots of the parents.
+# With 2, the value of the source, 23 instead of 27 in 100 of the more urgent
+# requests had answers in time in bench/overload.py.
 THROTTLING_FACTOR = 1.2
 # Requests are throttled only after this many recent responses, as a single
 # refusal says little.
--- a/shallotbridge/traffic/offer_limits.py
+++ b/shallotbridge/traffic/offer_limits.py
@@ -10,7 +10,8 @@
 
 from . import admission
 
-# Offers of a request. In the tests' model, four or eight served no more.
+# Offers of a request. In the tests' model, eight served as many requests, with
+# up to half more offers.
 MAXIMUM_OFFERS = 3
 # The waits of owner nodes differ by about this factor: if one is longer than
 # the request can wait by more, the others are too long as well.
--- a/shallotbridge/traffic/return_times.py
+++ b/shallotbridge/traffic/return_times.py
@@ -12,8 +12,8 @@
 # Least time between a refusal and the return.
 MINIMUM_SECONDS = 0.03
 # A client comes back within this part of the time in which it could still
-# begin and meet its objective. The whole time left a tenth fewer answers in
-# time in the tests' model.
+# begin and meet its objective. With the whole time, 6 in 100 fewer answers
+# were in time in bench/overload.py.
 USEFUL_RATIO = 0.25
 # Spread of the times if room is expected at once, or no time is left.
 MINIMUM_SPREAD_SECONDS = 0.03
--- a/tests/runtime/loopback.py
+++ b/tests/runtime/loopback.py
@@ -123,9 +123,12 @@
     nursery : trio.Nursery
     repeats_refusals : bool
         Whether the upstreams send each refusal once more.
+    **settings
+        Fields of ``NodeSettings``.
     """
 
-    def __init__(self, nursery, *, repeats_refusals=False):
+    def __init__(self, nursery, *, repeats_refusals=False, **settings):
+        self._settings = settings
         self.nursery = nursery
         self._repeats_refusals = repeats_refusals
         self.subnet = next(_subnets)
@@ -222,6 +225,7 @@
                 report_interval_seconds=1.5,
                 grace_period_seconds=6.0,
                 memory_bytes=200_000_000,
+                **self._settings,
             ),
             header_names=names.HEADER_NAMES,
             readiness_path=names.READINESS_PATH,
@@ -310,10 +314,14 @@
 
 
 @contextlib.asynccontextmanager
-async def start_mesh(count, *, repeats_refusals=False, **options):
+async def start_mesh(
+    count, *, repeats_refusals=False, settings=None, **options
+):
     """Start a mesh of nodes; stop it at the end of the block."""
     async with trio.open_nursery() as nursery:
-        mesh = LoopbackMesh(nursery, repeats_refusals=repeats_refusals)
+        mesh = LoopbackMesh(
+            nursery, repeats_refusals=repeats_refusals, **(settings or {})
+        )
         await mesh.start(count, **options)
         with trio.fail_after(30):
             yield mesh
--- a/tests/runtime/test_node.py
+++ b/tests/runtime/test_node.py
@@ -209,3 +209,15 @@
                 for node in mesh.nodes
             ):
                 await trio.sleep(0.02)
+
+
+async def test_overload_control_is_used_where_the_settings_enable_it():
+    """Guards against an enabled setting that changes nothing, or too much."""
+    for is_enabled in (False, True):
+        async with loopback.start_mesh(
+            1, settings={"is_overload_control_enabled": is_enabled}
+        ) as mesh:
+            response = await mesh.send_request(1, "r")
+            assert response.status == 200
+            text = mesh.nodes[0]._metrics.render()
+            assert ("shallotbridge_call_routes 0" in text) == is_enabled
--- a/tests/traffic/test_entry.py
+++ b/tests/traffic/test_entry.py
@@ -8,6 +8,7 @@
 from shallotbridge._generated import link
 from shallotbridge.core import errors
 from shallotbridge.core import model as messages
+from shallotbridge.traffic import call_graph
 from shallotbridge.traffic import crash_records
 from shallotbridge.traffic import entry
 from shallotbridge.traffic import model
@@ -583,3 +584,24 @@
         server.begin_drain(trio.current_time() + 0.2)
     assert responses[0].status == 504
     assert trio.current_time() - began < 0.6
+
+
+@pytest.mark.parametrize("wait_ms, offers", [(150.0, 3), (1000.0, 1)])
+async def test_overload_control_asks_few_owner_nodes(
+    autojump_clock, wait_ms, offers
+):
+    """Guards against offers to many owner nodes that all refuse.
+
+    Without overload control the request is offered eight times. The client is
+    told a time at which the request can still meet its objective.
+    """
+
+    async def handle_offer(address, work):
+        return _refusal("SB-3004", retry_after_ms=wait_ms)
+
+    server, owners, _ = _server(handle_offer, upstreams=8)
+    server._calls = call_graph.CallGraph()
+    response = await server.handle_request(_request())
+    assert response.status == 503
+    assert len(owners.offers) == offers
+    assert 0.03 <= float(response.header("retry-after")) < 0.15
