--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -21,6 +21,7 @@
 from ..peers import links as peer_links
 from ..peers import server as peer_server
 from . import quotas
+from ..traffic import call_graph
 from ..traffic import client_connections
 from ..traffic import crash_records
 from ..traffic import departures
@@ -263,7 +264,12 @@
         self._answer_budget = byte_budget.ByteBudget(
             limit_bytes=int(settings.memory_bytes * ANSWER_MEMORY_RATIO)
         )
+        self._calls = None
+        if settings.is_overload_control_enabled:
+            self._calls = call_graph.CallGraph()
         self._owner = owner.OwnerServer(
+            calls=self._calls,
+            random=random,
             answer_budget=self._answer_budget,
             account=self._account,
             own_host=own_host,
@@ -279,6 +285,7 @@
             is_capacity_learned=settings.is_capacity_learned,
         )
         self._entry = entry.EntryServer(
+            calls=self._calls,
             own_host=own_host,
             header_names=header_names,
             read_view=self._read_client_view,
@@ -900,6 +907,13 @@
         gauge("reading_paused_total", lambda: account.paused_count)
         gauge("requests_without_memory_total", lambda: account.refused_count)
         gauge("connections_closed_total", lambda: account.closed_count)
+        if self._calls is not None:
+            gauge("call_routes", lambda: len(self._calls.call_routes()))
+            gauge(
+                "throttled_requests_total",
+                lambda: self._calls.throttled_count,
+            )
+            gauge("floor_grants_total", lambda: self._owner.floor_grant_count)
         gauge("runs_total", lambda: self._owner.run_count)
         gauge("refusals_total", lambda: self._owner.refused_count)
         gauge(
