Hold requests while nodes or their upstreams start

Cause: After a loss of power owner nodes refused offers until their first health check was answered, entry nodes offered a request to up to eight of them within milliseconds and then refused the client, who returns once at most. An entry node holds a request while no owner node is eligible, and probes those more often. Held requests are bounded in number and time. Conclusion: Acts only while a node starts; in calm nothing changes.

--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -524,6 +524,7 @@
             )
         if is_reachable:
             self._selector.on_owner_reachable(address)
+            self._entry.on_owners_changed()
         else:
             self._selector.on_owner_unreachable(address)
             if reason in (
@@ -574,6 +575,7 @@
         view = self._view_builder.view
         self._selector.on_view_changed(view)
         self._owner.on_view_changed(view)
+        self._entry.on_owners_changed()
         if view.configuration is not previous:
             self._traffic_splitter.prune(view.configuration)
         self._close_unused_links(view)
@@ -605,7 +607,12 @@
     async def _probe_unreachable_nodes(self):
         """Probe unreachable owner nodes periodically."""
         while True:
-            await trio.sleep(RECONNECT_INTERVAL_SECONDS)
+            is_starting = self._entry.hold.is_starting(trio.current_time())
+            await trio.sleep(
+                startup.RECONNECT_INTERVAL_SECONDS
+                if is_starting
+                else RECONNECT_INTERVAL_SECONDS
+            )
             for address in self._selector.unreachable_addresses():
                 self._nursery.start_soon(
                     supervision.keep_running, self._probe_peer, address
@@ -823,6 +830,12 @@
             "answers_without_memory_total",
             lambda: self._answer_budget.refused_count,
         )
+        gauge("requests_held", lambda: self._entry.hold.held_count)
+        gauge("requests_held_total", lambda: self._entry.hold.held_total)
+        gauge(
+            "requests_not_held_total",
+            lambda: self._entry.hold.rejected_total,
+        )
         gauge("runs_total", lambda: self._owner.run_count)
         gauge("refusals_total", lambda: self._owner.refused_count)
         gauge(
--- a/shallotbridge/traffic/admission.py
+++ b/shallotbridge/traffic/admission.py
@@ -9,6 +9,7 @@
 
 from ..core import errors
 from . import rate_limit
+from . import startup
 
 # Weight of the newest duration in the exponential moving averages.
 SMOOTHING_FACTOR = 0.1
@@ -136,6 +137,7 @@
         self._mean_seconds_by_route = {}
         self._mean_seconds = INITIAL_MEAN_SECONDS
         self._closed_error = None
+        self._held_error = None
 
     @property
     def in_use(self):
@@ -156,18 +158,38 @@
             The reason, which each refused request gets.
         """
         self._closed_error = error
+        self._held_error = None
         waiting, self._waiting = self._waiting, []
         for ticket in waiting:
             ticket.on_refused(error)
 
+    def hold(self, error):
+        """Grant no slots until ``open`` or ``close`` is called.
+
+        Requests that allow for the wait are queued meanwhile.
+
+        Parameters
+        ----------
+        error : errors.CallError
+            What the others get, and those that have waited for too long.
+        """
+        self._closed_error = None
+        self._held_error = error
+
     def open(self):
         """Accept requests again."""
         self._closed_error = None
+        self._held_error = None
+
+    @property
+    def is_held(self):
+        """Whether requests are queued without getting a slot."""
+        return self._held_error is not None
 
     @property
     def is_open(self):
-        """Whether new requests are accepted."""
-        return self._closed_error is None
+        """Whether new requests are accepted and get slots."""
+        return self._closed_error is None and self._held_error is None
 
     def offer(self, ticket, now):
         """Grant a request a slot, or queue it until one is free.
@@ -180,6 +202,11 @@
         """
         if self._closed_error is not None:
             raise self._closed_error
+        if self._held_error is not None and (
+            ticket.maximum_wait_seconds < startup.OPEN_WAIT_SECONDS
+            or len(self._waiting) >= startup.MAXIMUM_HELD_AT_OWNER
+        ):
+            raise self._held_error
         ticket.offered_at = now
         expected = self._mean_seconds_by_route.get(
             ticket.route, ticket.expected_seconds
@@ -285,6 +312,8 @@
 
         Requests that cannot finish before their deadline are refused.
         """
+        if self._held_error is not None:
+            return
         while self._waiting and len(self._running) < self.slots:
             if self._cold_start.seconds_until_allowed(now) > 0:
                 return
@@ -321,6 +350,9 @@
         """
         if not self._waiting:
             return
+        if self._held_error is not None:
+            self._refuse_held_requests(now)
+            return
         rate = max(1.0, self._cold_start.rate)
         is_cold = self._cold_start.is_cold(now)
         cold_wait = self._cold_start.seconds_until_allowed(now)
@@ -349,6 +381,19 @@
         for ticket, wait, rate_wait in refused:
             ticket.on_refused(self._make_overloaded_error(wait, rate_wait))
 
+    def _refuse_held_requests(self, now):
+        """Refuse the requests whose time to be held has passed."""
+        kept = []
+        refused = []
+        for ticket in self._waiting:
+            until = startup.hold_until(
+                ticket.offered_at, ticket.deadline_at, ticket.expected_seconds
+            )
+            (kept if now < until else refused).append(ticket)
+        self._waiting = kept
+        for ticket in refused:
+            ticket.on_refused(self._held_error)
+
     def cancel_request(self, ticket, now):
         """Remove a waiting or running request that its caller cancelled."""
         if ticket.granted_at is not None:
--- a/shallotbridge/traffic/call.py
+++ b/shallotbridge/traffic/call.py
@@ -21,6 +21,8 @@
     reoffered_ids : set of str
         Ids of the upstreams that refused an offer for overload and may get a
         second one.
+    starting_refusals : int
+        Number of refusals by owner nodes that are starting.
     attempts : int
         Number of upstreams that got the request, or may have got it.
     sent_at : float
@@ -46,6 +48,7 @@
         "offers",
         "excluded_ids",
         "reoffered_ids",
+        "starting_refusals",
         "attempts",
         "sent_at",
         "mirror_state",
@@ -77,6 +80,7 @@
         self.offers = []
         self.excluded_ids = set()
         self.reoffered_ids = set()
+        self.starting_refusals = 0
         self.attempts = 0
         self.sent_at = started_at
         self.mirror_state = None
--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -26,6 +26,7 @@
 from . import hedging
 from . import routing
 from . import self_report
+from . import startup
 
 # Maximum offers of a request before the client gets the refusal.
 MAXIMUM_OFFERS = 8
@@ -141,6 +142,8 @@
         self._read_mirror_state = read_mirror_state
         self._wait_for_view = wait_for_view
         self._node_started_at = trio.current_time()
+        self.hold = startup.RequestHold(started_at=self._node_started_at)
+        self._owners_changed = trio.Event()
         self._selector = selector
         self._traffic_splitter = traffic_splitter
         self._run_local = run_local
@@ -162,6 +165,9 @@
             send_hedge=self._send_hedge,
             record=record,
         )
+        self._hold_log = decisions.RateLimitedLog(
+            rate=ROUTINE_LINES_PER_SECOND, record=record
+        )
         self._routine_log = decisions.RateLimitedLog(
             rate=ROUTINE_LINES_PER_SECOND
         )
@@ -189,6 +195,7 @@
         """
         self._is_hedging_stopped = True
         self._drain_ends_at = ends_at
+        self.on_owners_changed()
         for scope in self._exchange_scopes:
             scope.deadline = min(scope.deadline, ends_at)
 
@@ -260,8 +267,89 @@
         if value is not None:
             seconds = calls.parse_deadline_seconds(value)
             until = min(until, now + seconds * FIRST_VIEW_DEADLINE_RATIO)
-        with trio.CancelScope(deadline=until):
-            await self._wait_for_view()
+        if now >= until or not self.hold.try_begin():
+            return
+        try:
+            with trio.CancelScope(deadline=until):
+                await self._wait_for_view()
+        finally:
+            self.hold.end()
+
+    def on_owners_changed(self):
+        """Let held requests check whether an owner node is eligible now."""
+        self._owners_changed.set()
+        self._owners_changed = trio.Event()
+
+    async def _wait_for_owner(self, call, error):
+        """Hold a request until an owner node of its service is eligible.
+
+        Only while this node or the owner nodes are starting, and not for an
+        upstream that names a limit.
+
+        Returns
+        -------
+        bool
+            False if the request is to be refused.
+        """
+        now = trio.current_time()
+        until = startup.hold_until(
+            call.started_at,
+            call.deadline_at,
+            self._selector.expected_seconds(call.route),
+        )
+        if (
+            now >= until
+            or error.retry_after is not None
+            or not (call.starting_refusals or self.hold.is_starting(now))
+            or not self._may_become_eligible(call)
+            or not self.hold.try_begin()
+        ):
+            return False
+        is_eligible = False
+        try:
+            while (
+                not is_eligible
+                and now < until
+                and math.isinf(self._drain_ends_at)
+                and self._may_become_eligible(call)
+            ):
+                with trio.move_on_at(
+                    min(until, now + startup.CHECK_INTERVAL_SECONDS)
+                ):
+                    await self._owners_changed.wait()
+                now = trio.current_time()
+                is_eligible = self._is_owner_eligible(call, now)
+            return is_eligible
+        finally:
+            self.hold.end()
+            self._hold_log.record(
+                "request_held",
+                now,
+                request_id=call.request_id,
+                route=call.route.name,
+                service=call.service,
+                chosen="offer" if is_eligible else "refuse",
+                reason="no owner node was eligible",
+                held_ms=round((now - call.started_at) * 1000, 1),
+                starting_refusals=call.starting_refusals,
+                position=positions.describe(
+                    self._read_mirror_state().position
+                ),
+            )
+
+    def _may_become_eligible(self, call):
+        """Return whether waiting may make an owner node eligible."""
+        upstreams = self._read_view().usable_upstreams(call.service)
+        return not upstreams or any(
+            one.upstream_id not in call.excluded_ids for one in upstreams
+        )
+
+    def _is_owner_eligible(self, call, now):
+        try:
+            self._choose_upstream(call, now)
+        except errors.NoUpstreamError:
+            return False
+        return True
 
     def _make_call(self, request, now):
         header_names = self._header_names
@@ -330,7 +418,10 @@
                     unknown_error = error
                 else:
                     refusal = _refusal_with_lower_retry_after(refusal, error)
-                    if not self._prepare_next_offer(call, error):
+                    if isinstance(error, errors.NoUpstreamError):
+                        if not await self._wait_for_owner(call, error):
+                            break
+                    elif not self._prepare_next_offer(call, error):
                         break
                     if not error.has_arrived:
                         continue
@@ -353,12 +444,16 @@
         """Prepare another offer after a refusal; return whether to make it."""
         if not error.is_retry_safe:
             return False
-        if isinstance(error, errors.NoUpstreamError) or (
-            len(call.offers) >= self._maximum_offers(call)
-        ):
+        if len(call.offers) >= self._maximum_offers(call):
             return False
         upstream_id = call.offers[-1].upstream.upstream_id
-        if (
+        if isinstance(error, errors.UpstreamUnreachableError):
+            is_owner_starting = error.retry_after is not None
+            call.starting_refusals += is_owner_starting
+            if is_owner_starting or self.hold.is_starting(trio.current_time()):
+                # Eligible again as soon as it is reached and not cooled down.
+                call.excluded_ids.discard(upstream_id)
+        elif (
             isinstance(error, errors.OverloadedError)
             and upstream_id not in call.reoffered_ids
             and self._would_meet_objective(call, error.retry_after or 0.0)
@@ -648,6 +743,7 @@
         if (
             len(call.offers)
             > self._maximum_offers(call) - UNBOUNDED_WAIT_OFFERS
+            or call.starting_refusals >= startup.MAXIMUM_STARTING_REFUSALS
         ):
             return math.inf
         expected = call.offers[-1].expected_wait
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -17,6 +17,7 @@
 from . import model
 from . import rate_limit
 from . import self_report
+from . import startup
 from . import upstream_client
 
 # Rate limit of the log, for completed requests and for those refused for
@@ -92,10 +93,10 @@
     on_crash_records_changed : callable
         ``on_crash_records_changed(fingerprints)`` is called after this node
         has changed records.
-    record : callable
     process_started_at : float, optional
         Start of this process on trio's clock. Before it, a predecessor may
         have sent requests to the upstream.
+    record : callable
         ``record(action, **fields)`` writes the decision log.
     """
 
@@ -113,8 +114,8 @@
         answer_budget=None,
         known_crashes=None,
         on_crash_records_changed=lambda fingerprints: None,
-        record=decisions.record,
         process_started_at=-math.inf,
+        record=decisions.record,
     ):
         self._own_host = own_host
         self._header_names = header_names
@@ -134,10 +135,10 @@
         )
         self._record = record
         self._cold_start = cold_start.ColdStartLimiter()
-        self._rate_limiter = rate_limit.RateLimiter()
         self._predecessor_until = (
             process_started_at + cold_start.EXTENDED_WINDOW_SECONDS
         )
+        self._rate_limiter = rate_limit.RateLimiter()
         self._admission = admission.AdmissionController(
             slots=INITIAL_SLOTS,
             cold_start=self._cold_start,
@@ -184,6 +185,7 @@
         self._can_probe = False
         self._is_leaving = False
         self._is_up = False
+        self._start_ends_at = trio.current_time() + startup.START_SECONDS
         self._unanswered_probes = 0
         self._last_answer_at = -math.inf
         self._cancellable_scopes = set()
@@ -200,13 +202,13 @@
         registered = self._find_registered(view)
         previous, self._registered = self._registered, registered
         now = trio.current_time()
-        if registered is not None:
-            self._admission.resize(max(1, registered.slots), now)
         if now < self._predecessor_until:
             self._cold_start.share_with_predecessor(
                 self._predecessor_until,
                 self._cold_bound() - self._cold_rate(),
             )
+        if registered is not None:
+            self._admission.resize(max(1, registered.slots), now)
             is_restarted = previous is None or (
                 previous.upstream_id,
                 previous.started_ms,
@@ -289,8 +291,6 @@
             + self._cold_slack * COLD_SLACK_FRACTION
         )
 
-    def begin_leaving(self):
-        """Refuse new and waiting requests; running ones continue."""
     def _cold_bound(self):
         """Return the configured bound of a cold upstream in any second."""
         return (
@@ -298,6 +298,8 @@
             + self._cold_slack
         )
 
+    def begin_leaving(self):
+        """Refuse new and waiting requests; running ones continue."""
         self._is_leaving = True
         self._update_admission("node is leaving")
 
@@ -329,18 +331,26 @@
                 f"upstream {departed_id} said that it is leaving"
             )
         if not self._is_up:
-            return errors.UpstreamUnreachableError(
+            error = errors.UpstreamUnreachableError(
                 "the upstream does not respond"
             )
+            if trio.current_time() < self._start_ends_at:
+                error.detail = "the first health checks are under way"
+                error.retry_after = startup.OPEN_WAIT_SECONDS
+            return error
         return None
 
     def _update_admission(self, reason):
         error = self._closed_error()
         was_open = self._admission.is_open
-        if error is not None:
+        if error is None:
+            if not was_open:
+                self._admission.open()
+                self._admission.dispatch(trio.current_time())
+        elif error.retry_after is not None:
+            self._admission.hold(error)
+        else:
             self._admission.close(error)
-        elif not was_open:
-            self._admission.open()
         if was_open != self._admission.is_open:
             self._record(
                 "upstream_open" if error is None else "upstream_closed",
@@ -352,7 +362,11 @@
     def load(self):
         """Return the ``link.Load`` of this node."""
         now = trio.current_time()
-        wait = self._admission.expected_wait(now)
+        wait = 0.0
+        if self._admission.is_open:
+            wait = self._admission.expected_wait(now)
+        elif self._admission.is_held:
+            wait = startup.OPEN_WAIT_SECONDS
         states = self._read_mirror_states()
         free = self._admission.slots - self.in_progress
         departed_id, departed_ms = self._departed or ("", None)
@@ -548,6 +562,8 @@
         now = trio.current_time()
         try:
             self._known_crashes.check(*fingerprints)
+            # The first health check may have named another one meanwhile.
+            self._check_target(work)
             # The upstream may have begun to leave since the slot was granted.
             if isinstance(error := self._closed_error(), errors.LeavingError):
                 raise error
@@ -598,11 +614,13 @@
         Only an idempotent request is cancelled when the upstream goes down,
         because it may safely run again elsewhere.
         """
+        on_sending = functools.partial(self._on_sending, ticket)
         if not work.is_idempotent:
             return await self._client.exchange(
                 request,
                 deadline_at=ticket.deadline_at,
                 is_idempotent=False,
+                on_sending=on_sending,
             )
         scope = trio.CancelScope()
         self._cancellable_scopes.add(scope)
@@ -616,13 +634,14 @@
         finally:
             self._cancellable_scopes.discard(scope)
         raise errors.OutcomeUnknownError("the upstream stopped responding")
-        on_sending = functools.partial(self._on_sending, ticket)
+
+    def _on_sending(self, ticket):
+        self._cold_start.on_written(ticket.granted_at, trio.current_time())
 
     def _on_request_completed(self, work, response, fingerprints):
         cleared = self._known_crashes.on_success(*fingerprints)
         if cleared:
             self._report_log.record(
-                on_sending=on_sending,
                 "crash_record_cleared",
                 trio.current_time(),
                 chosen=[f"{fingerprint:x}" for fingerprint in cleared],
@@ -635,9 +654,6 @@
     def _on_crash(self, reason, *, is_silent=False):
         registered = self._registered
         self._crash_attribution.on_crash(
-    def _on_sending(self, ticket):
-        self._cold_start.on_written(ticket.granted_at, trio.current_time())
-
             registered and registered.upstream_id,
             registered and registered.started_ms,
             reason,
@@ -842,6 +858,9 @@
     async def _probe_repeatedly(self):
         while True:
             await self._probe()
+            if self._admission.is_held:
+                # Refuses the held requests once the start is over.
+                self._update_admission("no health check answered yet")
             await self._wait_probe()
             self._probe_requested = trio.Event()
 
--- a/shallotbridge/traffic/selection.py
+++ b/shallotbridge/traffic/selection.py
@@ -475,8 +475,11 @@
         state.load = load
         state.load_received_at = now
         state.sent_since_load = 0
+        # One that is starting reports how long it takes until it is open; a
+        # request may wait there if no other owner node is open.
+        is_usable = load.is_open or load.wait_ms > 0
         state.excluded_until = (
-            0.0 if load.is_open else now + CLOSED_COOLDOWN_SECONDS
+            0.0 if is_usable else now + CLOSED_COOLDOWN_SECONDS
         )
 
     def on_instance_mismatch(self, upstream_id, now):
--- /dev/null
+++ b/tests/traffic/test_startup.py
@@ -0,0 +1,232 @@
+"""Tests of the decisions in the first moments after a start."""
+
+import dataclasses
+
+import trio
+
+from shallotbridge._generated import link
+from shallotbridge.core import errors
+from shallotbridge.traffic import admission
+from shallotbridge.traffic import cold_start
+from shallotbridge.traffic import owner
+from shallotbridge.traffic import startup
+from shallotbridge.transports import tcp
+from standins import store as store_standin
+
+from tests.traffic import builders
+from tests.traffic import test_entry
+from tests.traffic import test_owner
+
+ADDRESS = "127.0.17.1"
+STARTING = link.Load(
+    slots=6,
+    free=6,
+    wait_ms=startup.OPEN_WAIT_SECONDS * 1000,
+    is_open=False,
+    position=1,
+)
+
+
+def _ticket(outcomes, name, **changes):
+    fields = {
+        "route": "browse",
+        "priority": 1,
+        "objective_at": 0.3,
+        "deadline_at": 1.0,
+        "expected_seconds": 0.1,
+        "on_granted": lambda: outcomes.append(name),
+        "on_refused": lambda error: outcomes.append((name, error)),
+    }
+    return admission.Ticket(**(fields | changes))
+
+
+def test_held_requests_get_slots_in_order_of_priority_when_it_opens():
+    """Guards against urgent requests behind others after a start.
+
+    Also against holding a request whose bound on the wait is shorter, and one
+    that can no longer be served.
+    """
+    controller = admission.AdmissionController(
+        slots=2, cold_start=cold_start.ColdStartLimiter()
+    )
+    error = errors.UpstreamUnreachableError("starting")
+    controller.hold(error)
+    outcomes = []
+    for name, changes in {
+        "low": {"priority": 2},
+        "urgent": {"priority": 0},
+        "short": {"deadline_at": 0.4},
+    }.items():
+        controller.offer(_ticket(outcomes, name, **changes), 0.0)
+    bounded = _ticket(outcomes, "bounded", maximum_wait_seconds=0.01)
+    try:
+        controller.offer(bounded, 0.0)
+    except errors.UpstreamUnreachableError as refusal:
+        outcomes.append(refusal)
+    controller.shed_waiting_requests(0.21)
+    assert outcomes == [error, ("short", error)]
+    controller.open()
+    controller.dispatch(0.22)
+    assert outcomes[2:] == ["urgent", "low"]
+
+
+def test_the_number_of_held_requests_is_bounded():
+    """Guards against memory that clients of a starting fleet determine."""
+    hold = startup.RequestHold(started_at=0.0, maximum_held=2)
+    assert [hold.try_begin() for _ in range(3)] == [True, True, False]
+    hold.end()
+    assert hold.try_begin()
+    assert (hold.held_count, hold.rejected_total) == (2, 1)
+
+
+def test_a_cold_upstream_gets_at_most_the_bound_after_a_restart():
+    """Guards against more arrivals in a second than two processes may send.
+
+    The predecessor sent its rate just before it ended. Requests that got a
+    slot arrive late because the process had no processor time.
+    """
+    bound, rate = 17, 14
+    limiter = cold_start.ColdStartLimiter()
+    limiter.begin(0.0, 10.0, rate)
+    limiter.share_with_predecessor(1.05, bound - rate)
+    arrivals = [0.0] * rate
+    now = 0.4
+    while now < 4.0:
+        if limiter.seconds_until_allowed(now) <= 0:
+            limiter.on_sent(now)
+            written_at = now + (0.3 if now < 1.5 else 0.0)
+            limiter.on_written(now, written_at)
+            arrivals.append(written_at)
+            now = max(now, written_at)
+        now += 0.002
+    assert max(
+        sum(start <= each < start + 1.0 for each in arrivals)
+        for start in arrivals
+    ) in range(rate, bound + 1)
+
+
+async def test_an_owner_serves_requests_that_came_before_its_upstream():
+    """Guards against refusals while the first health check is under way.
+
+    Pattern: after a power loss 1,129 offers were refused because "the
+    upstream does not respond" yet.
+    """
+    view = builders.view(
+        builders.configuration(builders.route()),
+        builders.upstream(1, address=ADDRESS, port=test_owner.PORT, slots=4),
+    )
+    upstream = test_owner._Upstream("3000ms")
+    replies = []
+    async with trio.open_nursery() as nursery:
+        server = owner.OwnerServer(
+            own_host=dataclasses.replace(
+                test_owner.OWN_HOST, upstream_address=ADDRESS
+            ),
+            header_names=builders.NAMES,
+            read_view=lambda: view,
+            read_mirror_states=lambda: builders.MIRROR_STATES,
+            open_stream=tcp.open_stream,
+            cold_multiplier=1.5,
+            cold_slack=5.0,
+            record=lambda action, **fields: None,
+        )
+        await nursery.start(server.run_tasks)
+        server.on_view_changed(view)
+
+        async def send(request_id, **changes):
+            work = test_owner.work(
+                request_id,
+                **({"remaining_ms": 9e3, "objective_ms": 6e3} | changes),
+            )
+            replies.append(await server.run(work))
+
+        async with trio.open_nursery() as requests:
+            for number in range(3):
+                requests.start_soon(send, f"r{number}")
+            await send("bounded", maximum_wait_ms=10.0)
+            assert not server.load().is_open and server.load().wait_ms > 0
+            with trio.move_on_after(0.02):
+                await send("left")
+            await nursery.start(
+                tcp.serve,
+                ADDRESS,
+                test_owner.PORT,
+                store_standin.make_handler(upstream.respond),
+            )
+        assert replies[0].code == errors.UpstreamUnreachableError.code
+        assert [reply.status for reply in replies[1:]] == [200] * 3
+        assert {one.header("x-id") for one in upstream.requests} == {
+            "r0",
+            "r1",
+            "r2",
+        }
+        nursery.cancel_scope.cancel()
+
+
+def _starting_refusal():
+    return link.Refusal(
+        call_id=1,
+        code=errors.UpstreamUnreachableError.code,
+        detail="",
+        retry_after_ms=200.0,
+        has_arrived=False,
+        load=STARTING,
+    )
+
+
+async def test_an_offer_waits_at_an_owner_node_that_is_starting(
+    autojump_clock,
+):
+    """Guards against eight refusals within milliseconds after a start."""
+
+    async def handle_offer(address, work):
+        if work.maximum_wait_ms < STARTING.wait_ms:
+            return _starting_refusal()
+        await trio.sleep(0.2)
+        return test_entry._answer()
+
+    server, owners, _ = test_entry._server(
+        handle_offer, route=test_entry.NON_IDEMPOTENT_ROUTE, upstreams=8
+    )
+    response = await server.handle_request(test_entry._request())
+    assert response.status == 200
+    assert len(owners.offers) <= startup.MAXIMUM_STARTING_REFUSALS + 1
+
+
+async def test_a_request_waits_until_an_owner_node_is_reachable(
+    autojump_clock,
+):
+    """Guards against refusals while all owner nodes are starting.
+
+    Also against holding a request that can't be served any more, and against
+    holding one in calm.
+    """
+    is_up = False
+
+    async def handle_offer(address, work):
+        if not is_up:
+            raise errors.UpstreamUnreachableError("connection refused")
+        return test_entry._answer()
+
+    server, owners, lines = test_entry._server(handle_offer)
+    response = await server.handle_request(test_entry._request())
+    assert response.status == 503
+    assert 0.4 < trio.current_time() - server._node_started_at < 0.6
+    assert server.hold.held_count == 0
+    responses = []
+
+    async def send():
+        responses.append(await server.handle_request(test_entry._request()))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(send)
+        await trio.sleep(0.2)
+        is_up = True
+        server._selector.on_owner_reachable("10.0.0.2")
+        server.on_owners_changed()
+    assert [one.status for one in responses] == [200]
+    await trio.sleep(startup.START_SECONDS)
+    is_up = False
+    began = trio.current_time()
+    response = await server.handle_request(test_entry._request())
+    assert (response.status, trio.current_time()) == (503, began)
