Load the log library after the start, and skip an unused optional one

Cause: Imports take most of the time until a node has started, half a second on a host with 0.43 of a core. A quarter of that is eliot with what it imports, and typing_extensions, which msgspec only tries. Change: eliot is imported at its first use, in steps from 1 s after the start; the decision log keeps up to 2,000 lines until then and writes them with their own times. The first garbage collection comes after that. A kill in the first 1.3 s loses the lines that were kept.

--- a/shallotbridge/core/decisions.py
+++ b/shallotbridge/core/decisions.py
@@ -1,8 +1,18 @@
 """The decision log: one JSON line per routing or placement decision."""
 
+import os
+import time
+
 import eliot
 
 MESSAGE_PREFIX = "shallotbridge:"
+# Lines that are kept until the log library is loaded; one more loads it.
+MAXIMUM_DEFERRED_LINES = 2000
+
+# Time, action and fields of the lines to write; None unless they are kept.
+_deferred_lines = None
+# Called when too many lines are kept.
+_start_logging = None
 
 
 def record(action, **fields):
@@ -17,9 +27,45 @@
         JSON-serializable values, by convention ``chosen``,
         ``candidates`` and ``reason``.
     """
+    if _deferred_lines is not None:
+        if len(_deferred_lines) < MAXIMUM_DEFERRED_LINES:
+            _deferred_lines.append((time.time(), action, fields))
+            return
+        _start_logging()
     eliot.log_message(message_type=MESSAGE_PREFIX + action, **fields)
 
 
+def begin_deferral(start_logging):
+    """Keep the lines in memory, so that the log library need not be loaded.
+
+    Parameters
+    ----------
+    start_logging : callable
+        Called without arguments if too many lines are kept; it must call
+        ``end_deferral``.
+    """
+    global _deferred_lines, _start_logging
+    _deferred_lines = []
+    _start_logging = start_logging
+
+
+def end_deferral():
+    """Write the lines that were kept, with their own times."""
+    global _deferred_lines
+    lines, _deferred_lines = _deferred_lines or (), None
+    logger = eliot.Logger()
+    for written_at, action, fields in lines:
+        logger.write(
+            {
+                **fields,
+                "timestamp": written_at,
+                "task_uuid": os.urandom(16).hex(),
+                "task_level": [1],
+                "message_type": MESSAGE_PREFIX + action,
+            }
+        )
+
+
 class RateLimitedLog:
     """Rate-limited log of frequent outcomes; counts the omitted lines.
 
--- a/shallotbridge/platform/__main__.py
+++ b/shallotbridge/platform/__main__.py
@@ -7,7 +7,11 @@
 # started.
 _STARTED_AT = time.clock_gettime(time.CLOCK_BOOTTIME)
 
-from . import program  # noqa: E402
+from . import deferred_imports  # noqa: E402
+
+deferred_imports.defer_log_library()
+with deferred_imports.skip_optional_modules():
+    from . import program
 
 if __name__ == "__main__":
     sys.exit(program.main(_STARTED_AT))
--- a/shallotbridge/platform/program.py
+++ b/shallotbridge/platform/program.py
@@ -14,6 +14,7 @@
 from ..core import decisions
 from ..core import errors
 from ..core import logs
+from . import deferred_imports
 from . import items
 from . import names
 from ..runtime import metrics as metrics_module
@@ -61,13 +62,8 @@
         for problem in error.problems:
             print(f"  {problem}", file=sys.stderr)
         return EXIT_SETTINGS
-    # This process has no endpoint that serves recent log lines.
-    ring = logs.DecisionRing(lines=0)
-    _, stop_logging = logs.start_logging(
-        log_file=logs.STANDARD_OUTPUT,
-        ring=ring,
-        host_id=node_settings.own_host.name,
-    )
+    log = _Log(host_id=node_settings.own_host.name)
+    decisions.begin_deferral(log.start)
     try:
         trio.run(
             _run,
@@ -75,14 +71,53 @@
             path,
             metrics_port,
             started_at,
+            log,
             clock=clock.BootTimeClock(),
         )
         return EXIT_STOPPED
     except Exception:
+        log.start()
         eliot.write_traceback()
         return EXIT_FAILED
     finally:
-        stop_logging()
+        log.stop()
+
+
+class _Log:
+    """The log on standard output, which starts after the node has.
+
+    Parameters
+    ----------
+    host_id : str
+    """
+
+    def __init__(self, *, host_id):
+        self._host_id = host_id
+        self._stop = None
+
+    def start(self):
+        """Load the log library and write the lines that were kept."""
+        if self._stop is None:
+            # This process has no endpoint that serves recent log lines.
+            _, self._stop = logs.start_logging(
+                log_file=logs.STANDARD_OUTPUT,
+                ring=logs.DecisionRing(lines=0),
+                host_id=self._host_id,
+            )
+            decisions.end_deferral()
+
+    def stop(self):
+        """Write all lines."""
+        self.start()
+        self._stop()
+
+
+async def _start_log(log):
+    await deferred_imports.load_log_library(trio.sleep)
+    log.start()
+    # Not before the log has started: that takes processor time, too.
+    gc.collect()
+    gc.freeze()
 
 
 def _metrics_port():
@@ -112,7 +147,7 @@
     return text == values[1]
 
 
-async def _run(node_settings, path, metrics_port, started_at):
+async def _run(node_settings, path, metrics_port, started_at, log):
     network = tcp.tcp_network()
     address, port = node_settings.platform_address
     store_client = store.StoreClient(
@@ -139,8 +174,7 @@
         async with trio.open_nursery() as nursery:
             await node.start(nursery)
             nursery.start_soon(_watch_settings_file, path, node_settings)
-            gc.collect()
-            gc.freeze()
+            nursery.start_soon(_start_log, log)
             async for signal_number in signals:
                 if signal_number != signal.SIGHUP:
                     break
