Read the configuration beside the upstreams at the start

Cause: A starting node asked for the configuration only when its upstreams were current, and the first node of a failure domain, for which the others wait, read all items twice: a stale copy and then the current one. It asked three starting peers for 0.2 s each in turn. Change: The configuration follower starts with the nodes of the first stale read, and follows the tree when the upstreams are current. The first node of a domain makes one current read at once, and a stale one if that fails. Peers after the first, which get their copy from it, are asked for 0.05 s. Conclusion: One transfer of the configuration and one round trip less.

--- a/shallotbridge/distribution/follower.py
+++ b/shallotbridge/distribution/follower.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+import contextlib
 import dataclasses
 import functools
 import math
@@ -51,6 +52,9 @@
 MINIMUM_EXPIRY_REPORTS = 2
 # How long a starting node waits for one peer before it queries the next.
 BOOTSTRAP_PULL_WAIT_SECONDS = 0.2
+# The same for the peers after the first, which is the one that reads the
+# platform: they get their copies from it.
+LATER_BOOTSTRAP_PULL_WAIT_SECONDS = 0.05
 # Backoff while the platform is unavailable: initial and maximum delay.
 RETRY_DELAY_SECONDS = 0.3
 MAXIMUM_RETRY_DELAY_SECONDS = 0.7
@@ -134,6 +138,9 @@
     report_interval_seconds : float
         Interval between the reports of an upstream to the platform.
     random : random.Random
+    wait_for_peers : callable
+        ``await wait_for_peers()`` returns when `list_peers` is complete. The
+        first copy does not wait for that.
     record : callable
         ``record(action, **fields)`` writes the decision log.
 
@@ -162,6 +169,7 @@
         random,
         topic=UPSTREAMS,
         gossip=lambda peer: peer.ping(),
+        wait_for_peers=trio.lowlevel.checkpoint,
         record=decisions.record,
     ):
         self._mirror = mirror
@@ -183,6 +191,7 @@
         self._last_parent = None
         self._pull_scopes_by_address = collections.defaultdict(set)
         self._send_gossip = gossip
+        self._wait_for_peers = wait_for_peers
         self._batch_window_seconds = maximum_apply_seconds * BATCH_WINDOW_RATIO
         self._minimum_expiry_seconds = (
             report_interval_seconds * MINIMUM_EXPIRY_REPORTS
@@ -245,6 +254,7 @@
             try:
                 if not self._mirror.position:
                     await self._bootstrap(failures)
+                    await self._wait_for_peers()
                 elif (parent := self.parent) is not None:
                     self._is_confirmed = False
                     await self._pull_from_parent(parent)
@@ -292,7 +302,8 @@
         A stale read of some entries finds peers to pull from. If no peer has
         a copy, a full snapshot is read from the platform. It may be stale
         too, so the mirror counts as current only after a current read or a
-        pull.
+        pull. The first node of a domain, for which the others wait, makes a
+        current read at once.
         """
         until = trio.current_time() + REGISTRATION_WAIT_SECONDS
         nodes = []
@@ -300,8 +311,14 @@
             nodes = await self._read_nodes()
             if not nodes:
                 await trio.sleep(EMPTY_POLL_SECONDS)
+        parents = self._tree.bootstrap_parents(nodes)
+        if nodes and not parents:
+            # If the platform limits such reads, a stale one may still work.
+            with contextlib.suppress(errors.PlatformUnavailableError):
+                await self._read_snapshot()
+                return
         with trio.move_on_after(BOOTSTRAP_TIMEOUT_SECONDS):
-            if await self._bootstrap_from(self._tree.bootstrap_parents(nodes)):
+            if await self._bootstrap_from(parents):
                 return
         await self._read_snapshot(may_be_stale=not failures)
 
@@ -315,8 +332,13 @@
         """
         while addresses:
             for address in list(addresses):
+                wait = (
+                    BOOTSTRAP_PULL_WAIT_SECONDS
+                    if address == addresses[0]
+                    else LATER_BOOTSTRAP_PULL_WAIT_SECONDS
+                )
                 try:
-                    await self.pull(address, BOOTSTRAP_PULL_WAIT_SECONDS)
+                    await self.pull(address, wait)
                 except errors.PeerUnavailableError:
                     # The peer is starting too; retried in the next round.
                     continue
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -216,11 +216,15 @@
             mirror=self._configuration_mirror,
             source=configuration_source,
             read_nodes=self._wait_for_nodes,
+            wait_for_peers=self._upstream_follower.wait_until_current,
             link_to=self._get_bulk_link,
             topic=follower.CONFIGURATION,
         )
         # Number of calls to the platform that list the initial peers.
         self._node_read_count = 0
+        # The nodes of the first of them that found any.
+        self._initial_nodes = []
+        self._initial_nodes_known = trio.Event()
         self._selector = selection.Selector(
             own_address=own_host.address,
             own_domain=own_host.failure_domain,
@@ -377,15 +381,29 @@
     async def _read_registered_nodes(self, read_nodes):
         """Return some of the registered nodes; count the platform call."""
         self._node_read_count += 1
-        return await read_nodes()
+        nodes = await read_nodes()
+        if nodes:
+            self._initial_nodes = nodes
+            self._initial_nodes_known.set()
+        return nodes
 
     async def _wait_for_nodes(self):
-        """Return the known nodes once the list of upstreams is current.
+        """Return some of the registered nodes once any are known.
 
-        These nodes may already have the configuration.
+        These nodes may already have the configuration, which is the larger
+        of the two topics. It is not read after the other one but beside it.
         """
-        await self._upstream_follower.wait_until_current()
-        return self._list_peers()
+
+        async def wait(wait_for_event):
+            await wait_for_event()
+            nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(wait, self._initial_nodes_known.wait)
+            nursery.start_soon(
+                wait, self._upstream_follower.wait_until_current
+            )
+        return self._list_peers() or self._initial_nodes
 
     async def _wait_until_current(self):
         await self._upstream_follower.wait_until_current()
