Let the soak kill all nodes at once

Cause: No run checked that a fleet whose processes are killed together serves requests again. Change: run_seed(kill_all_at=...) makes that the only fault of a run. The plans of all seeds stay as they were, as the kind has no weight. Conclusion: It guards the outcome, not the time.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -36,6 +36,8 @@
     "limit": (3, 3.0, 7.0),
     "harmful": (2, 6.0, 9.0),
     "domain_out": (1, 3.0, 6.0),
+    # Not chosen at random; see ``run.run_seed``.
+    "kill_all": (0, 0.0, 0.0),
 }
 # Actions of operators; all other kinds are faults.
 PLANNED = frozenset(
--- a/soak/run.py
+++ b/soak/run.py
@@ -32,7 +32,7 @@
 REWRITE_DELAY_SECONDS = 1.2
 
 
-def run_seed(seed, *, seconds, hosts, domains, older=None):
+def run_seed(seed, *, seconds, hosts, domains, older=None, kill_all_at=None):
     """Return the records, the violations and the logs by name of a run.
 
     Parameters
@@ -42,10 +42,27 @@
     hosts, domains : int
     older : str, optional
         Directory of an older build, which every second host runs.
+    kill_all_at : float, optional
+        If given, the only fault is that all nodes are killed at this time,
+        in seconds; they restart at once.
     """
+    entries = plan_module.make_plan(seed, seconds=seconds, hosts=hosts)
+    if kill_all_at is not None:
+        entries = [
+            plan_module.Entry(
+                at=kill_all_at, kind="kill_all", host=0, seconds=0.0
+            )
+        ]
     with processes.running_processes() as process_manager:
         run_records = trio.run(
-            _run, process_manager, seed, seconds, hosts, domains, older
+            _run,
+            process_manager,
+            seed,
+            seconds,
+            hosts,
+            domains,
+            older,
+            entries,
         )
         violations = checks.find_violations(run_records)
         outputs = {
@@ -55,7 +72,7 @@
     return run_records, violations, outputs
 
 
-async def _run(process_manager, seed, seconds, hosts, domains, older):
+async def _run(process_manager, seed, seconds, hosts, domains, older, entries):
     run_records = records_module.Records()
     began = time.monotonic()
 
@@ -78,7 +95,7 @@
                 await _wait_ready(host)
         nursery.start_soon(callers.run_callers, fleet)
         started = clock()
-        for entry in plan_module.make_plan(seed, seconds=seconds, hosts=hosts):
+        for entry in entries:
             await trio.sleep(max(0.0, started + entry.at - clock()))
             nursery.start_soon(_run_entry, fleet, entry)
         await trio.sleep(max(0.0, started + seconds - clock()))
@@ -112,6 +129,7 @@
         "store_status",
         "store_history",
         "store_restore",
+        "kill_all",
     )
     await _ACTIONS[entry.kind](fleet, host, entry.seconds)
     if entry.kind not in plan_module.PLANNED | {"readers_lost"}:
@@ -197,6 +215,12 @@
     await trio.sleep(KILL_RECOVERY_SECONDS)
 
 
+async def _kill_all(fleet, host, seconds):
+    for each in fleet.hosts:
+        fleet.send_signal(each, signal.SIGKILL)
+    await trio.sleep(KILL_RECOVERY_SECONDS)
+
+
 async def _pause(fleet, host, seconds):
     fleet.send_signal(host, signal.SIGSTOP)
     await trio.sleep(seconds)
@@ -316,6 +340,7 @@
     "harmful": _send_harmful_requests,
     "readers_lost": _lose_readers,
     "kill": _kill,
+    "kill_all": _kill_all,
     "pause": _pause,
     "sighup": _send_sighup,
     "terminate": _terminate,
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -22,3 +22,23 @@
     assert violations == []
     served = sum(call.status == 200 for call in run_records.calls)
     assert served > len(run_records.calls) / 2 > 0
+
+
+def test_requests_are_served_again_after_all_nodes_were_killed():
+    """Guards against a fleet that waits for itself after a mass restart.
+
+    All processes are killed at once and restart together, while the store and
+    the upstreams go on. Times are not checked: the last seconds are.
+    """
+    run_records, violations, _ = run.run_seed(
+        107, seconds=14.0, hosts=6, domains=3, kill_all_at=3.0
+    )
+    assert violations == []
+    _, _, killed_at, _ = run_records.faults[0]
+    late = [
+        call
+        for call in run_records.calls
+        if call.sent_at > killed_at + 8.0 and call.ended_at < 1e9
+    ]
+    served = sum(call.status == 200 for call in late)
+    assert served >= 0.9 * len(late) > 0
