Wait between offers that find no listening owner node at the start

Cause: In a fleet that starts at once, eight connection attempts are refused within milliseconds, and the request with them. Change: In the first 3 s of an entry node, after two such attempts a request waits for the next change, or 0.1 s, before each further offer; these do not count towards the maximum. The time to be held bounds them. Measured: pytest tests/traffic/test_startup.py -k more_owner: fails before, passes after. Conclusion: A request is refused once it can't be held longer, not before.

--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -313,9 +313,8 @@
                 and math.isinf(self._drain_ends_at)
                 and self._may_become_eligible(call)
             ):
-                with trio.move_on_at(
-                    min(until, now + startup.CHECK_INTERVAL_SECONDS)
-                ):
+                due_at = min(until, now + startup.CHECK_INTERVAL_SECONDS)
+                with trio.move_on_at(due_at):
                     await self._owners_changed.wait()
                 now = trio.current_time()
                 is_eligible = self._is_owner_eligible(call, now)
@@ -337,6 +336,23 @@
                 ),
             )
 
+    def _is_owner_missing(self, call, error):
+        """Return whether to wait instead of offering to the next owner.
+
+        While a fleet starts, the next ones may not accept connections either.
+        """
+        if isinstance(error, errors.NoUpstreamError):
+            return True
+        if (
+            not isinstance(error, errors.UpstreamUnreachableError)
+            or error.retry_after is not None
+            or not self.hold.is_starting(trio.current_time())
+        ):
+            return False
+        call.starting_refusals += 1
+        call.excluded_ids.discard(call.offers[-1].upstream.upstream_id)
+        return call.starting_refusals > startup.MAXIMUM_STARTING_REFUSALS
+
     def _may_become_eligible(self, call):
         """Return whether waiting may make an owner node eligible."""
         upstreams = self._read_view().usable_upstreams(call.service)
@@ -405,7 +421,9 @@
         unknown_error = None
         refusal = None
         failed_answer = None
-        for _ in range(MAXIMUM_OFFERS):
+        offers_left = MAXIMUM_OFFERS
+        while offers_left > 0:
+            offers_left -= 1
             try:
                 self._check_drain(call)
             except errors.LeavingError as error:
@@ -418,9 +436,11 @@
                     unknown_error = error
                 else:
                     refusal = _refusal_with_lower_retry_after(refusal, error)
-                    if isinstance(error, errors.NoUpstreamError):
+                    if self._is_owner_missing(call, error):
                         if not await self._wait_for_owner(call, error):
                             break
+                        # The time for which a request is held bounds these.
+                        offers_left += 1
                     elif not self._prepare_next_offer(call, error):
                         break
                     if not error.has_arrived:
@@ -444,14 +464,14 @@
         """Prepare another offer after a refusal; return whether to make it."""
         if not error.is_retry_safe:
             return False
-        if len(call.offers) >= self._maximum_offers(call):
+        offers = len(call.offers) - call.starting_refusals
+        if offers >= self._maximum_offers(call):
             return False
         upstream_id = call.offers[-1].upstream.upstream_id
         if isinstance(error, errors.UpstreamUnreachableError):
-            is_owner_starting = error.retry_after is not None
-            call.starting_refusals += is_owner_starting
-            if is_owner_starting or self.hold.is_starting(trio.current_time()):
-                # Eligible again as soon as it is reached and not cooled down.
+            if error.retry_after is not None:
+                # It is starting, and may open while the request waits there.
+                call.starting_refusals += 1
                 call.excluded_ids.discard(upstream_id)
         elif (
             isinstance(error, errors.OverloadedError)
--- a/tests/traffic/test_startup.py
+++ b/tests/traffic/test_startup.py
@@ -230,3 +230,20 @@
     began = trio.current_time()
     response = await server.handle_request(test_entry._request())
     assert (response.status, trio.current_time()) == (503, began)
+
+
+async def test_more_owner_nodes_than_offers_may_be_unreachable_at_first(
+    autojump_clock,
+):
+    """Guards against refusals because eight owners do not accept yet."""
+
+    async def handle_offer(address, work):
+        if trio.current_time() < server._node_started_at + 0.25:
+            raise errors.UpstreamUnreachableError("connection refused")
+        return test_entry._answer()
+
+    server, owners, lines = test_entry._server(handle_offer, upstreams=30)
+    response = await server.handle_request(test_entry._request())
+    assert response.status == 200
+    assert len(owners.offers) <= 8
+    assert sum(action == "request_held" for action, _ in lines) <= 6
