Hold requests that the first open owner nodes refuse for overload

Cause: The first owner nodes that open after a start get all requests, and refused what they had no room for, though others open a moment later. Measured: pytest tests/traffic/test_startup.py -k only_open: the case with room in time fails before and passes after. Conclusion: Overload outside the start is refused as before.

--- a/shallotbridge/traffic/call.py
+++ b/shallotbridge/traffic/call.py
@@ -21,6 +21,9 @@
     reoffered_ids : set of str
         Ids of the upstreams that refused an offer for overload and may get a
         second one.
+    room_at_by_id : dict of str to float
+        Times at which upstreams that refused an offer for overload expect
+        room.
     starting_refusals : int
         Number of refusals by owner nodes that are starting.
     attempts : int
@@ -48,6 +51,7 @@
         "offers",
         "excluded_ids",
         "reoffered_ids",
+        "room_at_by_id",
         "starting_refusals",
         "attempts",
         "sent_at",
@@ -80,6 +84,7 @@
         self.offers = []
         self.excluded_ids = set()
         self.reoffered_ids = set()
+        self.room_at_by_id = {}
         self.starting_refusals = 0
         self.attempts = 0
         self.sent_at = started_at
--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -283,8 +283,9 @@
     async def _wait_for_owner(self, call, error):
         """Hold a request until an owner node of its service is eligible.
 
-        Only while this node or the owner nodes are starting, and not for an
-        upstream that names a limit.
+        Only while this node or the owner nodes are starting, and not if the
+        wait would be longer than the request may be held, as for an upstream
+        that names a limit.
 
         Returns
         -------
@@ -297,9 +298,17 @@
             call.deadline_at,
             self._selector.expected_seconds(call.route),
         )
+        call.excluded_ids -= {
+            upstream_id
+            for upstream_id, room_at in call.room_at_by_id.items()
+            if room_at < until
+        }
         if (
-            now >= until
-            or error.retry_after is not None
+            now + (error.retry_after or 0.0) >= until
+            or (
+                isinstance(error, errors.NoUpstreamError)
+                and error.retry_after is not None
+            )
             or not (call.starting_refusals or self.hold.is_starting(now))
             or not self._may_become_eligible(call)
             or not self.hold.try_begin()
@@ -336,21 +345,29 @@
                 ),
             )
 
-    def _is_owner_missing(self, call, error):
+    def _must_wait_for_owner(self, call, error):
         """Return whether to wait instead of offering to the next owner.
 
         While a fleet starts, the next ones may not accept connections either.
         """
         if isinstance(error, errors.NoUpstreamError):
             return True
+        if not self.hold.is_starting(trio.current_time()):
+            return False
+        upstream_id = call.offers[-1].upstream.upstream_id
+        if isinstance(error, errors.OverloadedError):
+            # The few owners that are open get what all are to share soon.
+            call.room_at_by_id[upstream_id] = trio.current_time() + (
+                error.retry_after or 0.0
+            )
+            return self._has_made_all_offers(call)
         if (
             not isinstance(error, errors.UpstreamUnreachableError)
             or error.retry_after is not None
-            or not self.hold.is_starting(trio.current_time())
         ):
             return False
         call.starting_refusals += 1
-        call.excluded_ids.discard(call.offers[-1].upstream.upstream_id)
+        call.excluded_ids.discard(upstream_id)
         return call.starting_refusals > startup.MAXIMUM_STARTING_REFUSALS
 
     def _may_become_eligible(self, call):
@@ -436,11 +453,12 @@
                     unknown_error = error
                 else:
                     refusal = _refusal_with_lower_retry_after(refusal, error)
-                    if self._is_owner_missing(call, error):
+                    if self._must_wait_for_owner(call, error):
                         if not await self._wait_for_owner(call, error):
                             break
-                        # The time for which a request is held bounds these.
-                        offers_left += 1
+                        if not isinstance(error, errors.OverloadedError):
+                            # The time to be held bounds the number of these.
+                            offers_left += 1
                     elif not self._prepare_next_offer(call, error):
                         break
                     if not error.has_arrived:
@@ -464,8 +482,7 @@
         """Prepare another offer after a refusal; return whether to make it."""
         if not error.is_retry_safe:
             return False
-        offers = len(call.offers) - call.starting_refusals
-        if offers >= self._maximum_offers(call):
+        if self._has_made_all_offers(call):
             return False
         upstream_id = call.offers[-1].upstream.upstream_id
         if isinstance(error, errors.UpstreamUnreachableError):
@@ -484,6 +501,10 @@
             call.excluded_ids.discard(upstream_id)
         return True
 
+    def _has_made_all_offers(self, call):
+        offers = len(call.offers) - call.starting_refusals
+        return offers >= self._maximum_offers(call)
+
     def _maximum_offers(self, call):
         refusal_ratio = self._selector.overload_refusal_ratio(call.service)
         if refusal_ratio > OVERLOAD_REFUSAL_RATIO:
--- a/tests/traffic/test_startup.py
+++ b/tests/traffic/test_startup.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+import pytest
 import trio
 
 from shallotbridge._generated import link
@@ -247,3 +248,27 @@
     assert response.status == 200
     assert len(owners.offers) <= 8
     assert sum(action == "request_held" for action, _ in lines) <= 6
+
+
+@pytest.mark.parametrize(("retry_after_ms", "status"), [(60, 200), (9e3, 503)])
+async def test_a_request_waits_while_the_only_open_owner_is_full(
+    autojump_clock, retry_after_ms, status
+):
+    """Guards against refusals by the first owner node that opens.
+
+    Also against holding a request for longer than it can be.
+    """
+
+    async def handle_offer(address, work):
+        if trio.current_time() < server._node_started_at + 0.25:
+            return test_entry._refusal(
+                errors.OverloadedError.code, retry_after_ms
+            )
+        return test_entry._answer()
+
+    server, owners, _ = test_entry._server(handle_offer, upstreams=1)
+    response = await server.handle_request(test_entry._request())
+    assert response.status == status
+    assert len(owners.offers) <= 8
+    if status == 503:
+        assert trio.current_time() == server._node_started_at
