Repeat overloaded offers at the start only if other owners are missing

Cause: test_offers_per_request_are_bounded_under_overload failed: in the first 3 s of an entry node, requests were offered again to owner nodes that are overloaded though none was starting. Change: Only while an owner node is unreachable or starting, and not before the time that the refusal told.

--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -298,11 +298,6 @@
             call.deadline_at,
             self._selector.expected_seconds(call.route),
         )
-        call.excluded_ids -= {
-            upstream_id
-            for upstream_id, room_at in call.room_at_by_id.items()
-            if room_at < until
-        }
         if (
             now + (error.retry_after or 0.0) >= until
             or (
@@ -310,7 +305,7 @@
                 and error.retry_after is not None
             )
             or not (call.starting_refusals or self.hold.is_starting(now))
-            or not self._may_become_eligible(call)
+            or not self._may_become_eligible(call, until)
             or not self.hold.try_begin()
         ):
             return False
@@ -320,12 +315,17 @@
                 not is_eligible
                 and now < until
                 and math.isinf(self._drain_ends_at)
-                and self._may_become_eligible(call)
+                and self._may_become_eligible(call, until)
             ):
                 due_at = min(until, now + startup.CHECK_INTERVAL_SECONDS)
                 with trio.move_on_at(due_at):
                     await self._owners_changed.wait()
                 now = trio.current_time()
+                call.excluded_ids -= {
+                    upstream_id
+                    for upstream_id, room_at in call.room_at_by_id.items()
+                    if room_at <= now
+                }
                 is_eligible = self._is_owner_eligible(call, now)
             return is_eligible
         finally:
@@ -356,6 +356,11 @@
             return False
         upstream_id = call.offers[-1].upstream.upstream_id
         if isinstance(error, errors.OverloadedError):
+            if not (
+                call.starting_refusals
+                or self._selector.has_unreachable_owner()
+            ):
+                return False
             # The few owners that are open get what all are to share soon.
             call.room_at_by_id[upstream_id] = trio.current_time() + (
                 error.retry_after or 0.0
@@ -370,11 +375,13 @@
         call.excluded_ids.discard(upstream_id)
         return call.starting_refusals > startup.MAXIMUM_STARTING_REFUSALS
 
-    def _may_become_eligible(self, call):
+    def _may_become_eligible(self, call, until):
         """Return whether waiting may make an owner node eligible."""
         upstreams = self._read_view().usable_upstreams(call.service)
         return not upstreams or any(
-            one.upstream_id not in call.excluded_ids for one in upstreams
+            one.upstream_id not in call.excluded_ids
+            or call.room_at_by_id.get(one.upstream_id, math.inf) < until
+            for one in upstreams
         )
 
     def _is_owner_eligible(self, call, now):
--- a/shallotbridge/traffic/selection.py
+++ b/shallotbridge/traffic/selection.py
@@ -511,6 +511,12 @@
             and state.is_unreachable
         ]
 
+    def has_unreachable_owner(self):
+        """Return whether any owner node that got requests is unreachable."""
+        return any(
+            state.is_unreachable for state in self._states_by_id.values()
+        )
+
     def service_failure_ratio(self, service):
         """Return the recent ratio of failed requests of a service."""
         return self._failure_ratios_by_service.get(service, 0.0)
