Build the load of a starting owner in a test from the usual one

Cause: It repeated the fields of the load in test_entry. Change: It replaces two fields of that one. Conclusion: No change in what is tested.

--- a/tests/traffic/test_startup.py
+++ b/tests/traffic/test_startup.py
@@ -4,7 +4,6 @@
 import pytest
 import trio
 
-from shallotbridge._generated import link
 from shallotbridge.core import errors
 from shallotbridge.traffic import admission
 from shallotbridge.traffic import cold_start
@@ -12,12 +11,8 @@
 
 from tests.traffic import test_entry
 
-STARTING = link.Load(
-    slots=6,
-    free=6,
-    wait_ms=startup.OPEN_WAIT_SECONDS * 1000,
-    is_open=False,
-    position=1,
+STARTING = msgspec.structs.replace(
+    test_entry.LOAD, wait_ms=startup.OPEN_WAIT_SECONDS * 1000, is_open=False
 )
 
 
