Take no status outside 100 to 599 for a response

Cause: ResponseReader took every status below 200 for an interim one, so an answer with status 000 was skipped and a sound answer behind it, on the same connection and with the same id, was passed on; an owner node of an older build may also pass on 000. Statuses above 599 were refused already. Change: only 100 to 199 are interim (101 is malformed, as before), anything else outside 200 to 599 is malformed: the outcome is unknown, and the connection is closed. The entry node checks the status that an owner node reports.

--- a/shallotbridge/core/http1.py
+++ b/shallotbridge/core/http1.py
@@ -549,14 +549,16 @@
                 raise self._malformed("the head is not a response head")
             version = self._check_version(parser)
             status = parser.get_status_code()
-            if status >= 200:
-                break
             if status == 101:
                 raise self._malformed("status 101 without an upgrade request")
+            if not 100 <= status <= 599:
+                raise self._malformed(
+                    f"status {status:03}; allowed: 100 to 599"
+                )
+            if status >= 200:
+                break
         else:
             raise self._malformed("too many interim responses")
-        if status > 599:
-            raise self._malformed(f"status {status}; allowed: 200 to 599")
         has_body = method != "HEAD" and status not in (204, 304)
         length = self._body_length(parsed, version, has_body=has_body)
         if not has_body:
--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -582,8 +582,11 @@
             name == "content-encoding" for name, _ in reply.headers
         )
         is_reserved_status = reply.status in (408, 421, 429, 503)
+        # An owner node of an older build passes on statuses such as 000.
+        is_final_status = 200 <= reply.status <= 599
         if (
-            (reply.status < 300 and not has_signature)
+            not is_final_status
+            or (reply.status < 300 and not has_signature)
             or is_encoded
             or is_reserved_status
         ):
--- a/tests/traffic/test_entry.py
+++ b/tests/traffic/test_entry.py
@@ -270,6 +270,33 @@
     assert (await server.handle_request(_request())).status == 502
 
 
+@pytest.mark.parametrize("status", [0, 99, 100, 199, 600])
+async def test_an_invalid_status_from_an_owner_node_is_an_error(
+    autojump_clock, status
+):
+    """Guards against status 000 that an owner node of an older build sends."""
+
+    async def handle_offer(address, work):
+        return _answer(status=status)
+
+    server, _, _ = _server(handle_offer, route=NON_IDEMPOTENT_ROUTE)
+    assert (await server.handle_request(_request())).status == 502
+
+
+async def test_an_invalid_status_of_a_hedge_is_no_answer(autojump_clock):
+    """Guards against a hedge whose status 000 replaces a sound answer."""
+
+    async def handle_offer(address, work):
+        if len(owners.offers) == 1:
+            await trio.sleep(0.8)
+            return _answer()
+        return _answer(status=0)
+
+    server, owners, _ = _server(handle_offer)
+    assert (await _answer_with_hedging(server)).status == 200
+    assert len(owners.offers) == 2
+
+
 async def test_request_with_lost_answer_is_hedged(autojump_clock):
     """Guards against waiting for an answer that never arrives.
 
--- a/tests/traffic/test_upstream_client.py
+++ b/tests/traffic/test_upstream_client.py
@@ -370,6 +370,63 @@
         assert caught.value.outcome is errors.Outcome.UNKNOWN
 
 
+INVALID_STATUSES = ["000", "001", "099", "600", "999"]
+
+
+def _invalid_response(status, request_id):
+    return (
+        f"HTTP/1.1 {status} Trouble\r\nx-id: {request_id}\r\n"
+        "x-signature: s\r\ncontent-length: 0\r\n\r\n"
+    ).encode()
+
+
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+@pytest.mark.parametrize("place", ["alone", "before", "after"])
+async def test_an_invalid_status_is_no_response(status, place):
+    """Guards against a status below 100 that counts as an interim response.
+
+    The sound response behind it would then be taken for the request's own.
+    """
+
+    async def serve(stream, number, request_id):
+        if number > 1:
+            await stream.send_all(_response(request_id, "next"))
+            return
+        invalid = _invalid_response(status, request_id)
+        sound = _response(request_id, "sound")
+        parts = {
+            "alone": invalid,
+            "before": invalid + sound,
+            "after": sound + invalid,
+        }
+        await stream.send_all(parts[place])
+
+    async with _upstream(serve) as client:
+        if place == "after":
+            assert (await _send_request(client, "r")).body == b"sound"
+        else:
+            with pytest.raises(errors.AnswerMismatchError) as caught:
+                await _send_request(client, "r")
+            assert caught.value.outcome is errors.Outcome.UNKNOWN
+        assert (await _send_request(client, "other")).body == b"next"
+        assert client.connect_count == 2
+
+
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+async def test_an_invalid_status_is_no_health_response(status):
+    """Guards against an upstream in trouble that counts as healthy."""
+
+    async def serve(stream, number, request_id):
+        await stream.send_all(
+            f"HTTP/1.1 {status} Trouble\r\ncontent-length: 0\r\n\r\n".encode()
+            + HEALTH_RESPONSE
+        )
+
+    async with _upstream(serve) as client:
+        with pytest.raises(errors.AnswerMismatchError):
+            await _send_request(client)
+
+
 def _refusal(request_id):
     return (
         f"HTTP/1.1 503 Busy\r\nx-id: {request_id}\r\nx-not-run: 1\r\n"
