Read the client limits for each request, not once a connection

Cause: KNOWN-RED 17 (review case 5): a connection that was accepted before a starting node had its configuration kept the default body limit of 1 MiB for good, and proper requests got 413. Change: the limits in force are set before each request is read.

--- a/shallotbridge/core/http1.py
+++ b/shallotbridge/core/http1.py
@@ -482,6 +482,14 @@
         # Counted for a larger buffer of the socket.
         self._socket_buffer_bytes = 0
 
+    def set_limits(
+        self, *, maximum_head_bytes, maximum_body_bytes, head_timeout_seconds
+    ):
+        """Change the limits for the next request; see the constructor."""
+        self._maximum_head_bytes = maximum_head_bytes
+        self._maximum_body_bytes = maximum_body_bytes
+        self._head_timeout_seconds = head_timeout_seconds
+
     async def wait_request(self):
         """Wait for the first byte of the next request.
 
--- a/shallotbridge/traffic/client_connections.py
+++ b/shallotbridge/traffic/client_connections.py
@@ -141,6 +141,13 @@
                 return
             connection.is_reading = True
             connection.update()
+            # The connection may be older than the node's configuration.
+            limits = self._read_limits()
+            reader.set_limits(
+                maximum_head_bytes=limits.maximum_head_bytes,
+                maximum_body_bytes=limits.maximum_body_bytes,
+                head_timeout_seconds=limits.head_timeout_seconds,
+            )
             try:
                 request = await reader.read()
             except errors.FramingError as error:
--- a/tests/traffic/test_client_connections.py
+++ b/tests/traffic/test_client_connections.py
@@ -1,6 +1,7 @@
 """Tests of client connections over loopback."""
 
 import contextlib
+import dataclasses
 
 import pytest
 import trio
@@ -14,7 +15,10 @@
 
 @contextlib.asynccontextmanager
 async def _serving(
-    handle_request, limits=model.DEFAULT_CLIENT_LIMITS, account=None
+    handle_request,
+    limits=model.DEFAULT_CLIENT_LIMITS,
+    account=None,
+    read_limits=None,
 ):
     """Yield the ``ClientConnections`` and an open stream to it."""
     connections = client_connections.ClientConnections(
@@ -22,7 +26,7 @@
         handle_framing_error=lambda error: messages.Response(
             status=error.status, headers=(), body=b""
         ),
-        read_limits=lambda: limits,
+        read_limits=read_limits or (lambda: limits),
         account=account,
     )
     async with trio.open_nursery() as nursery:
@@ -200,3 +204,26 @@
                 received += await stream.receive_some()
     await trio.testing.wait_all_tasks_blocked(0.05)
     assert account.held_bytes == 0 and account.connection_count == 0
+
+
+async def test_a_connection_follows_the_limits_of_the_configuration():
+    """Guards against the limits of a node without a configuration for good.
+
+    Clients connect before a starting node has its configuration, and keep
+    their connections.
+    """
+    limits = [model.DEFAULT_CLIENT_LIMITS]
+
+    async def handle_request(request):
+        limits[0] = dataclasses.replace(limits[0], maximum_body_bytes=3000000)
+        return messages.Response(status=200, headers=(), body=b"done")
+
+    async with _serving(handle_request, read_limits=lambda: limits[0]) as (
+        _,
+        stream,
+    ):
+        for size in (10, 2_000_000):
+            head = f"POST /1 HTTP/1.1\r\nhost: a\r\ncontent-length: {size}"
+            await stream.send_all(head.encode() + b"\r\n\r\n" + b"x" * size)
+            received = await _read_until(stream, b"done")
+            assert received.startswith(b"HTTP/1.1 200"), received
