Add the command where, which previews a request

Cause: operators could see in the log where a request went, but not where one would go now. Change: shallotbridge where ADDRESS HOST PATH asks a live node at the address of its metrics; the node computes route, version, customer, quota, ranked upstreams and a refusal from the state that decides on requests, and sends nothing. A key comes from a file, travels in a header and is in no output.

--- a/shallotbridge/cli/__init__.py
+++ b/shallotbridge/cli/__init__.py
@@ -15,6 +15,7 @@
     "node",
     "status",
     "version",
+    "where",
 )
 
 _HELP = """Distribute and enforce the configuration of a service mesh.
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 import functools
+import json
 import math
+import urllib.parse
 
 import trio
 
@@ -21,6 +23,7 @@
 from ..peers import links as peer_links
 from ..peers import server as peer_server
 from . import quotas
+from . import request_preview
 from ..traffic import call_graph
 from ..traffic import client_connections
 from ..traffic import crash_records
@@ -869,10 +872,27 @@
         return _make_text_response(503, "not ready")
 
     async def _answer_metrics(self, request):
+        if request.target.partition("?")[0] == request_preview.PATH:
+            return self._answer_preview(request)
         if request.target.partition("?")[0] != METRICS_PATH:
             return _make_text_response(404, "not found")
         return _make_text_response(200, self._metrics.render())
 
+    def _answer_preview(self, request):
+        query = urllib.parse.parse_qs(request.target.partition("?")[2])
+        preview = request_preview.make_preview(
+            view=self._read_client_view(),
+            own_host=self._settings.own_host,
+            selector=self._selector,
+            quotas=self._quotas,
+            host=query.get("host", [""])[0],
+            target=query.get("path", ["/"])[0],
+            key=request.header(request_preview.KEY_HEADER),
+            is_leaving=self._is_leaving,
+            now=trio.current_time(),
+        )
+        return _make_text_response(200, json.dumps(preview))
+
     def _register_metrics(self):
         gauge = self._metrics.register_gauge
         gauge("version", self._read_version)
--- a/shallotbridge/runtime/quotas.py
+++ b/shallotbridge/runtime/quotas.py
@@ -266,6 +266,16 @@
         """Return whether a customer has nearly used up its quota."""
         return self.accounts.is_near_limit(customer, trio.current_time())
 
+    def describe(self, customer):
+        """Return the home node of a customer and whether its limit is near."""
+        candidates = self._order.candidates(
+            customer.name, self._is_unresponsive
+        )
+        return {
+            "home": candidates[0] if candidates else None,
+            "is_near_limit": self.is_near_limit(customer),
+        }
+
     def answer(self, request):
         """Return the answer to a question of another node.
 
--- a/shallotbridge/traffic/selection.py
+++ b/shallotbridge/traffic/selection.py
@@ -162,6 +162,28 @@
     slowdown: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RankedUpstream:
+    """An upstream with the cost that a selection would compare now.
+
+    Attributes
+    ----------
+    upstream : model.Upstream
+    cost : float
+        Expected time until the answer, with penalties, seconds; infinite if
+        the upstream is not eligible.
+    wait : float
+        Expected queue time, seconds.
+    is_in_subset : bool
+        Whether it is one of those that this node prefers.
+    """
+
+    upstream: object
+    cost: float
+    wait: float
+    is_in_subset: bool
+
+
 class Selector:
     """Selects among the upstreams of a service.
 
@@ -283,6 +305,33 @@
             slowdown=best.slowdown if self._is_capacity_learned else None,
         )
 
+    def rank(self, upstreams, route, now):
+        """Return all upstreams of a service in the order of their costs.
+
+        Those of the subset come first; the others are compared only if none
+        of these has a slot soon. A selection adds up to ``JITTER_SECONDS``.
+        """
+        if not upstreams:
+            return []
+        preferred_ids = {
+            upstream.upstream_id for upstream in self._subset(upstreams)
+        }
+        ranked = []
+        for upstream in upstreams:
+            found = _BestUpstream()
+            self._update_best(found, (upstream,), route, (), now, math.inf)
+            ranked.append(
+                RankedUpstream(
+                    upstream=upstream,
+                    cost=found.cost,
+                    wait=found.wait,
+                    is_in_subset=upstream.upstream_id in preferred_ids,
+                )
+            )
+        return sorted(
+            ranked, key=lambda each: (not each.is_in_subset, each.cost)
+        )
+
     def _update_best(
         self, best, upstreams, route, excluded, now, maximum_wait_seconds
     ):
