--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -394,6 +394,11 @@
 
     A request names its work in its query: ``work`` (ms) and ``size`` (bytes of
     the answer).
+
+    Attributes
+    ----------
+    slowness : float
+        Work takes so many times as long.
     """
 
     _numbers = itertools.count(1)
@@ -408,6 +413,7 @@
         self.born = int(time.time() * 1000)
         self.reports = itertools.count(1)
         self.record = record
+        self.slowness = 1.0
         self.arrivals = []
         self.runs = []
         self._free = asyncio.Semaphore(slots)
@@ -457,7 +463,7 @@
     async def _run(self, connection, method, target, fields, body):
         request_id = fields.get("attempt-id")
         query = dict(urllib.parse.parse_qsl(target.partition("?")[2]))
-        seconds = int(query.get("work", 50)) / 1000
+        seconds = int(query.get("work", 50)) / 1000 * self.slowness
         run = {
             "id": request_id,
             "arrived": time.monotonic(),
