Add crowds of untrusted clients that the node does not withstand

The series on a kept connection uses a plain socket: trio's streams set TCP_NOTSENT_LOWAT, which hides the fault.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -149,6 +149,31 @@
         signal.signal(signal.SIGTERM, previous_handler)
 
 
+def read_memory_bytes(pid, name):
+    """Return a memory figure of a running process.
+
+    Parameters
+    ----------
+    pid : int
+    name : str
+        Field of ``/proc/PID/status``: ``VmRSS`` is the resident memory,
+        ``VmHWM`` its peak.
+    """
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith(f"{name}:"):
+            return int(line.split()[1]) * 1024
+    return 0
+
+
+def ignores_signal(pid, number):
+    """Return whether a running process ignores or handles a signal."""
+    mask = 0
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith(("SigIgn:", "SigCgt:")):
+            mask |= int(line.split()[1], 16)
+    return bool(mask >> (number - 1) & 1)
+
+
 def find_free_network():
     """Return a network prefix such as ``127.83`` on which nothing listens.
 
--- a/tests/platform/crowd.py
+++ b/tests/platform/crowd.py
@@ -17,12 +17,18 @@
 
 # Descriptors of the process that are reserved for files.
 FILE_DESCRIPTORS_RESERVED = 200
-ANSWER_BYTES = 4 * 1024 * 1024
+# Size of the answer to a request whose path ends so; others get the size of
+# their body.
+ANSWER_BYTES_BY_ENDING = {"large": 4 * 1024 * 1024, "medium": 60_000}
 _SERVICES = ("near", "far")
 _PIECE_BYTES = 256 * 1024
 # How long a client tries to send before it only holds its connection open.
 _SEND_SECONDS = 4.0
 _ORDINARY_SECONDS = 60.0
+# How long a stopped node may take to end: it drains for its grace period.
+_STOP_SECONDS = 60.0
+# Time between the bytes of clients that send a few now and then.
+_TRICKLE_SECONDS = 0.25
 _SETTINGS = """
 [self]
 node_name = "{service}"
@@ -173,8 +179,9 @@
                 if request.body:
                     await trio.sleep(self._seconds)
             body = str(len(request.body)).encode()
-            if request.target.endswith("large"):
-                body = bytes(ANSWER_BYTES)
+            ending = request.target.rpartition("/")[2]
+            if ending in ANSWER_BYTES_BY_ENDING:
+                body = bytes(ANSWER_BYTES_BY_ENDING[ending])
             response = model.Response(
                 status=200,
                 headers=tuple(
@@ -194,8 +201,9 @@
                     unread = _unread_bytes(self._address_by_service[service])
                     self.peak_bytes_by_service[service] = max(
                         self.peak_bytes_by_service[service],
-                        _memory_bytes(process.pid, "VmRSS") + unread,
-                        _memory_bytes(process.pid, "VmHWM"),
+                        processes.read_memory_bytes(process.pid, "VmRSS")
+                        + unread,
+                        processes.read_memory_bytes(process.pid, "VmHWM"),
                     )
                     self.peak_descriptors_by_service[service] = max(
                         self.peak_descriptors_by_service[service],
@@ -223,19 +231,65 @@
     async def _send_one(self, path, body):
         stream = await trio.open_tcp_stream(self.address, 7400)
         async with stream:
-            with trio.move_on_after(_ORDINARY_SECONDS / 2):
-                await stream.send_all(
-                    head(path, f"content-length: {len(body)}")
-                )
-                await stream.send_all(body)
-                received = b""
-                while data := await stream.receive_some():
-                    received += data
-                    if received.count(b"\r\n\r\n"):
-                        _, _, answer = received.partition(b"\r\n\r\n")
-                        return int(received.split()[1]), answer
+            return await self._exchange(
+                stream,
+                (head(path, f"content-length: {len(body)}"), body),
+            )
+
+    async def _exchange(self, stream, pieces):
+        """Send a request; return the status and the body of its answer.
+
+        The status is None if there was no answer. The stand-in answers with
+        short bodies only to these requests.
+        """
+        with trio.move_on_after(_ORDINARY_SECONDS / 2):
+            for piece in pieces:
+                await stream.send_all(piece)
+            received = b""
+            while data := await stream.receive_some():
+                received += data
+                if received.count(b"\r\n\r\n"):
+                    _, _, answer = received.partition(b"\r\n\r\n")
+                    return int(received.split()[1]), answer
         return None, b""
 
+    async def send_series(self, requests):
+        """Send requests on one connection, each after the last answer.
+
+        Parameters
+        ----------
+        requests : iterable of iterable of bytes
+
+        Returns
+        -------
+        list of (int or None, bytes)
+            Status and body of each answer that came before the client gave
+            up.
+        """
+        answers = []
+        client = trio.socket.socket()
+        with client, trio.move_on_after(_ORDINARY_SECONDS):
+            await client.connect((self.address, 7400))
+            stream = _PlainStream(client)
+            for pieces in requests:
+                answers.append(await self._exchange(stream, pieces))
+        return answers
+
+    def send_signal(self, service, number):
+        """Send a signal to a node."""
+        self._processes_by_service[service].send_signal(number)
+
+    async def wait_stopped(self, service):
+        """Return the exit status of a node that was told to stop.
+
+        The status is None if the node still runs after a long time.
+        """
+        process = self._processes_by_service[service]
+        with trio.move_on_after(_STOP_SECONDS):
+            while process.poll() is None:
+                await trio.sleep(0.1)
+        return process.poll()
+
     async def crowd(self, count, pieces_of):
         """Let clients send pieces, each on its own connection, and stay.
 
@@ -250,6 +304,7 @@
                 nursery.start_soon(self._send_pieces, pieces_of(number))
 
     async def _send_pieces(self, pieces):
+        """Send pieces on a connection that stays open until the mesh ends."""
         client = trio.socket.socket()
         # The client must not take many bytes of an answer that it ignores.
         client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
@@ -261,13 +316,54 @@
                 for piece in pieces:
                     await stream.send_all(piece)
 
+    def keep_sending(self, count, pieces_of):
+        """Let clients send pieces again and again until the mesh ends.
+
+        Parameters
+        ----------
+        count : int
+        pieces_of : callable
+            ``pieces_of(number)`` yields the bytes to send on one connection.
+        """
+        for number in range(count):
+            self._nursery.start_soon(self._keep_sending, pieces_of, number)
+
+    async def _keep_sending(self, pieces_of, number):
+        while True:
+            with contextlib.suppress(OSError, trio.BrokenResourceError):
+                stream = await trio.open_tcp_stream(self.address, 7400)
+                async with stream:
+                    for piece in pieces_of(number):
+                        await stream.send_all(piece)
+            await trio.sleep(_TRICKLE_SECONDS)
+
+    def trickle(self, count, pieces):
+        """Let clients send pieces, then a byte now and then, to the end.
+
+        They connect again when the node closes their connection.
+        """
+        for _ in range(count):
+            self._nursery.start_soon(self._trickle, tuple(pieces))
+
+    async def _trickle(self, pieces):
+        while True:
+            with contextlib.suppress(OSError, trio.BrokenResourceError):
+                stream = await trio.open_tcp_stream(self.address, 7400)
+                async with stream:
+                    for piece in pieces:
+                        await stream.send_all(piece)
+                    while True:
+                        await trio.sleep(_TRICKLE_SECONDS)
+                        await stream.send_all(b"x")
+            await trio.sleep(_TRICKLE_SECONDS)
+
     def check(self):
         """Fail if a process ended or exceeded what its settings allow."""
         for service, process in self._processes_by_service.items():
             assert process.poll() is None, f"{service} ended"
             peak = max(
                 self.peak_bytes_by_service[service],
-                _memory_bytes(process.pid, "VmHWM"),
+                processes.read_memory_bytes(process.pid, "VmHWM"),
             )
             descriptors = self.peak_descriptors_by_service[service]
             print(f"{service}: {peak} bytes, {descriptors} descriptors")
@@ -275,6 +371,24 @@
             assert descriptors <= self._descriptors - FILE_DESCRIPTORS_RESERVED
 
 
+class _PlainStream:
+    """A stream without the socket options of ``trio.SocketStream``.
+
+    Those make the kernel send smaller segments than most clients do.
+    """
+
+    def __init__(self, client):
+        self._client = client
+
+    async def send_all(self, data):
+        data = memoryview(data)
+        while data:
+            data = data[await self._client.send(data) :]
+
+    async def receive_some(self):
+        return await self._client.recv(65536)
+
+
 async def _hold(client):
     try:
         await trio.sleep_forever()
@@ -303,13 +417,21 @@
         left -= _PIECE_BYTES
 
 
-def chunked(path, size, chunk_bytes, *, is_whole=False):
-    """Yield a chunked body without its end, or all of it."""
-    chunk = f"{chunk_bytes:x}\r\n".encode() + b"x" * chunk_bytes + b"\r\n"
+def chunked(path, size, chunk_bytes, *, is_whole=False, content=b"x"):
+    """Yield a chunked body without its end, or all of it.
+
+    The body repeats the content; its length divides that of a chunk.
+    """
+    chunk = b"%x\r\n%b\r\n" % (
+        chunk_bytes,
+        content * (chunk_bytes // len(content)),
+    )
     repeated = max(1, _PIECE_BYTES // len(chunk))
+    left = size // chunk_bytes
     yield head(path, "transfer-encoding: chunked")
-    for _ in range(size // (chunk_bytes * repeated)):
-        yield chunk * repeated
+    while left > 0:
+        yield chunk * min(left, repeated)
+        left -= repeated
     if is_whole:
         yield b"0\r\n\r\n"
 
@@ -328,13 +450,6 @@
     }
 
 
-def _memory_bytes(pid, name):
-    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith(f"{name}:"):
-            return int(line.split()[1]) * 1024
-    return 0
-
-
 def _unread_bytes(address):
     """Return the bytes that the kernel holds for the sockets of a host."""
     number = int.from_bytes(socket.inet_aton(address), "little")
--- a/tests/platform/test_untrusted_clients.py
+++ b/tests/platform/test_untrusted_clients.py
@@ -5,8 +5,10 @@
 """
 
 import functools
+import signal
 
 import pytest
+import trio
 
 from tests.platform import crowd
 
@@ -17,15 +19,28 @@
 UPSTREAM_SECONDS = 0.5
 # One of so many clients sends its whole request.
 WHOLE_INTERVAL = 6
+# For crowds whose connections, not their descriptors, fill the memory.
+MANY_DESCRIPTORS = 1000
+MANY_CLIENTS = 400
+WAVES = 4
+# Large bodies on one connection.
+KEPT_REQUESTS = 12
+KEPT_BODY_BYTES = 1_000_000
+# Clients of one wave, of several kinds in turn.
+MIXED_CLIENTS = 160
 
 
 def _sized(path, number):
     return crowd.sized(path, BODY_BYTES, is_whole=number % WHOLE_INTERVAL == 0)
 
 
-def _chunked(path, number, size, chunk_bytes):
+def _chunked(path, number, size, chunk_bytes, content=b"x"):
     return crowd.chunked(
-        path, size, chunk_bytes, is_whole=number % WHOLE_INTERVAL == 0
+        path,
+        size,
+        chunk_bytes,
+        is_whole=number % WHOLE_INTERVAL == 0,
+        content=content,
     )
 
 
@@ -38,6 +53,41 @@
         yield from crowd.sized(path, BODY_BYTES // 8, is_whole=True)
 
 
+def _short_of_small(path, number):
+    return crowd.sized(path, 65536)
+
+
+def _small_pipeline(path, number):
+    for _ in range(40):
+        yield from crowd.sized(path, 60_000, is_whole=True)
+
+
+def _long_heads(path, number):
+    for _ in range(200):
+        yield crowd.head("/none/", *["x: y"] * 1900, "content-length: 0")
+
+
+def _endless_trailer(path, number):
+    yield crowd.head(path, "transfer-encoding: chunked")
+    yield b"1\r\nx\r\n0\r\nx-long: " + b"x" * 1_000_000
+
+
+def _unread(path, number, ending):
+    yield crowd.head(path + ending, "content-length: 0") * 32
+
+
+_MIXED = (
+    _sized,
+    _short_of_small,
+    _small_pipeline,
+    functools.partial(_unread, ending="medium"),
+)
+
+
+def _mixed(path, number):
+    return _MIXED[number % len(_MIXED)](path, number)
+
+
 def _bytewise(path, number):
     for byte in crowd.head(path, "x-long: " + "x" * 8000)[:-2]:
         yield bytes([byte])
@@ -55,6 +105,20 @@
         CLIENTS,
         functools.partial(_chunked, size=1_200_000, chunk_bytes=8),
     ),
+    "very small chunks": (
+        CLIENTS,
+        functools.partial(_chunked, size=BODY_BYTES, chunk_bytes=1),
+    ),
+    "chunks of line breaks": (
+        CLIENTS,
+        functools.partial(
+            _chunked,
+            size=BODY_BYTES,
+            chunk_bytes=65536,
+            content=b"\r\n",
+        ),
+    ),
+    "endless trailers": (64, _endless_trailer),
     "bodies beyond the limit, announced": (
         CLIENTS,
         lambda path, number: crowd.sized(path, 16 * BODY_BYTES),
@@ -72,6 +136,10 @@
             crowd.head(path + "large", "content-length: 0") * 8
         ],
     ),
+    "small answers that nobody reads": (
+        48,
+        functools.partial(_unread, ending="medium"),
+    ),
 }
 
 
@@ -94,6 +162,99 @@
         mesh.check()
 
 
+# Clients whose bytes take much processor time to read.
+COSTLY_CLIENTS = 100
+COSTLY_CROWDS = {
+    "chunks of line breaks": CROWDS["chunks of line breaks"][1],
+    "very small chunks": CROWDS["very small chunks"][1],
+    "long heads": _long_heads,
+}
+
+
+@pytest.mark.parametrize("path", ["/near/", "/far/"])
+@pytest.mark.parametrize("case", COSTLY_CROWDS)
+async def test_a_crowd_that_goes_on_leaves_a_turn_to_others(case, path):
+    """Guards against a node that stands still while it decodes bytes."""
+    async with crowd.start_mesh(
+        memory_mb=MEMORY_MB,
+        descriptors=FILE_DESCRIPTORS,
+        body_bytes=BODY_BYTES,
+        seconds=UPSTREAM_SECONDS,
+    ) as mesh:
+        mesh.keep_sending(
+            COSTLY_CLIENTS, functools.partial(COSTLY_CROWDS[case], path)
+        )
+        # The crowd has begun, and goes on.
+        for _ in range(3):
+            await trio.sleep(1)
+            assert await mesh.send_ordinary(path, b"12345") == b"5"
+        mesh.check()
+
+
+@pytest.mark.parametrize("path", ["/near/", "/far/"])
+async def test_many_small_bodies_leave_the_node_alive(path):
+    """Guards against memory that is not counted with each small body."""
+    async with crowd.start_mesh(
+        memory_mb=MEMORY_MB,
+        descriptors=MANY_DESCRIPTORS,
+        body_bytes=BODY_BYTES,
+        seconds=UPSTREAM_SECONDS,
+    ) as mesh:
+        await mesh.crowd(
+            MANY_CLIENTS, functools.partial(_short_of_small, path)
+        )
+        assert await mesh.send_ordinary(path, b"12345") == b"5"
+        mesh.check()
+
+
+@pytest.mark.parametrize("path", ["/near/", "/far/"])
+async def test_waves_of_mixed_clients_leave_the_node_alive(path):
+    """Guards against memory that a wave does not give back."""
+    async with crowd.start_mesh(
+        memory_mb=MEMORY_MB,
+        descriptors=MANY_DESCRIPTORS,
+        body_bytes=BODY_BYTES,
+        seconds=UPSTREAM_SECONDS,
+    ) as mesh:
+        for _ in range(WAVES):
+            await mesh.crowd(MIXED_CLIENTS, functools.partial(_mixed, path))
+        assert await mesh.send_ordinary(path, b"12345") == b"5"
+        mesh.check()
+
+
+@pytest.mark.parametrize("path", ["/near/", "/far/"])
+async def test_a_large_body_is_served_beside_clients_that_send_few_bytes(
+    path,
+):
+    """Guards against clients that keep their place with a byte at a time."""
+    async with crowd.start_mesh(
+        memory_mb=MEMORY_MB,
+        descriptors=FILE_DESCRIPTORS,
+        body_bytes=BODY_BYTES,
+        seconds=UPSTREAM_SECONDS,
+    ) as mesh:
+        mesh.trickle(CLIENTS, crowd.sized(path, BODY_BYTES))
+        body = bytes(BODY_BYTES // 2)
+        answer = await mesh.send_ordinary(path, body)
+        assert answer == str(len(body)).encode()
+        mesh.check()
+
+
+@pytest.mark.parametrize("path", ["/near/", "/far/"])
+async def test_a_node_with_a_crowd_stops_by_itself(path):
+    """Guards against a planned stop that waits for such clients."""
+    async with crowd.start_mesh(
+        memory_mb=MEMORY_MB,
+        descriptors=FILE_DESCRIPTORS,
+        body_bytes=BODY_BYTES,
+        seconds=UPSTREAM_SECONDS,
+    ) as mesh:
+        await mesh.crowd(MIXED_CLIENTS // 2, functools.partial(_mixed, path))
+        mesh.send_signal("near", signal.SIGHUP)
+        mesh.send_signal("near", signal.SIGTERM)
+        assert await mesh.wait_stopped("near") == 0
+
+
 async def test_bodies_that_the_entry_node_takes_leave_the_owner_alive():
     """Guards against an owner node that ends under bodies of larger hosts."""
     async with crowd.start_mesh(
@@ -121,3 +282,39 @@
         answer = await mesh.send_ordinary(path, bytes(size))
         assert answer == str(size).encode()
         mesh.check()
+
+
+@pytest.mark.parametrize("path", ["/near/", "/far/"])
+async def test_large_bodies_are_served_on_a_kept_connection(path):
+    """Guards against a receive buffer that is made too small again."""
+    async with crowd.start_mesh(
+        memory_mb=200,
+        descriptors=4100,
+        body_bytes=BODY_BYTES,
+        seconds=UPSTREAM_SECONDS,
+    ) as mesh:
+        answers = await mesh.send_series(
+            [b"".join(crowd.sized(path, KEPT_BODY_BYTES, is_whole=True))]
+            for _ in range(KEPT_REQUESTS)
+        )
+        answer = (200, str(KEPT_BODY_BYTES).encode())
+        assert answers == [answer] * KEPT_REQUESTS
+        mesh.check()
+
+
+@pytest.mark.parametrize("path", ["/near/", "/far/"])
+@pytest.mark.parametrize("chunk_bytes", [1, 16])
+async def test_a_body_in_small_chunks_is_served(chunk_bytes, path):
+    """Guards against limits that a client inside the published ones meets."""
+    size = 3 * 1024 * 1024
+    async with crowd.start_mesh(
+        memory_mb=200,
+        descriptors=4100,
+        body_bytes=BODY_BYTES,
+        seconds=UPSTREAM_SECONDS,
+    ) as mesh:
+        answers = await mesh.send_series(
+            [crowd.chunked(path, size, chunk_bytes, is_whole=True)]
+        )
+        assert answers == [(200, str(size).encode())]
+        mesh.check()
