Bound the small answers that wait for earlier ones

Cause: Callers saw a node end for lack of memory. Answers of up to 64 KiB were counted, but held whether or not there was room. A client that pipelines 32 requests and reads no answer, or whose first request takes long, made the node hold all the others. An answer that can be sent at once is not checked.

--- a/shallotbridge/core/memory_account.py
+++ b/shallotbridge/core/memory_account.py
@@ -295,13 +295,16 @@
         """Bytes that closing the connection frees."""
         return self.held_bytes + self.unsent_bytes
 
+    def can_hold(self, size):
+        """Return whether there is room for more bytes."""
+        held = self.held_bytes
+        return held + size <= ALLOWANCE_BYTES or self.account.has_room(
+            held, size
+        )
+
     def try_hold(self, size):
         """Count more bytes; return False if there is no room for them."""
-        held = self.held_bytes
-        if held + size <= ALLOWANCE_BYTES:
-            self.held_bytes = held + size
-            return True
-        if not self.account.has_room(held, size):
+        if not self.can_hold(size):
             return False
         self.hold(size)
         return True
--- a/shallotbridge/traffic/client_connections.py
+++ b/shallotbridge/traffic/client_connections.py
@@ -36,7 +36,8 @@
         cancelled when the client closes the connection.
     handle_framing_error : callable
         ``handle_framing_error(error)`` returns the response to a request that
-        raised a ``FramingError``.
+        raised a ``FramingError``, or whose answer raised an
+        ``AnswerMemoryError``.
     read_limits : callable
         Returns the current ``model.ClientLimits``.
     account : memory_account.MemoryAccount, optional
@@ -246,13 +247,13 @@
             response = await self._handle_request(request)
             method = request.method
             request = None
+            if not previous_done.is_set():
+                response = self._check_room(response, holder)
             # A large body is counted where it was received.
-            size = len(response.body)
-            if size > body_buffer.LARGE_BODY_BYTES:
-                unsent_bytes = size
-                holder.unsent_bytes += size
-                size = 0
-            size += ANSWER_OVERHEAD_BYTES
+            size = _small_bytes(response)
+            if len(response.body) > body_buffer.LARGE_BODY_BYTES:
+                unsent_bytes = len(response.body)
+                holder.unsent_bytes += unsent_bytes
             holder.hold(size)
             held_bytes += size
             await previous_done.wait()
@@ -271,6 +272,27 @@
             self._update_idle_deadline(connection)
             done.set()
 
+    def _check_room(self, response, holder):
+        """Return an answer that must wait for others, or why it is lost.
+
+        A client that does not read, or whose first request takes long, would
+        make the node hold all its other answers.
+        """
+        size = _small_bytes(response)
+        account = self._account
+        if holder.can_hold(size):
+            return response
+        account.close_stalled(trio.current_time(), size)
+        if holder.can_hold(size):
+            return response
+        account.refused_count += 1
+        return self._handle_framing_error(
+            errors.AnswerMemoryError(
+                f"no memory for {size} bytes of the response until those to "
+                "earlier requests of its connection are sent"
+            )
+        )
+
     async def _send_response(self, response, method, connection, is_last):
         head, body = http1_encoding.encode_response_parts(
             response, method=method, is_persistent=not is_last
@@ -317,6 +339,14 @@
             self._update_idle_deadline(connection)
 
 
+def _small_bytes(response):
+    """Return what an answer holds besides a large body."""
+    size = len(response.body)
+    if size > body_buffer.LARGE_BODY_BYTES:
+        size = 0
+    return size + ANSWER_OVERHEAD_BYTES
+
+
 class _Connection:
     """State of a client connection.
 
--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -286,8 +286,19 @@
             )
 
     def handle_framing_error(self, error):
-        """Return the response to a request that was not read completely."""
+        """Return the response to a request that was not read completely.
+
+        Also to one whose answer found no memory until it could be sent.
+        """
         self._count(f"requests_total.{error.code}")
+        if isinstance(error, errors.AnswerMemoryError):
+            self._memory_log.record(
+                "give_up_answer",
+                trio.current_time(),
+                code=error.code,
+                detail=error.detail,
+            )
+            return self._error_response(error.status, error, None, None)
         if not isinstance(error, errors.RequestMemoryError):
             self._record(
                 "refuse_malformed", code=error.code, detail=error.detail
--- a/tests/traffic/test_client_connections.py
+++ b/tests/traffic/test_client_connections.py
@@ -227,3 +227,36 @@
             await stream.send_all(head.encode() + b"\r\n\r\n" + b"x" * size)
             received = await _read_until(stream, b"done")
             assert received.startswith(b"HTTP/1.1 200"), received
+
+
+async def test_answers_that_must_wait_take_no_more_than_the_account_has():
+    """Guards against clients that make a node hold all their answers.
+
+    The first request of each connection takes long; the others are answered
+    at once, and their answers must wait for the first.
+    """
+    account = memory_account.MemoryAccount(limit_bytes=1_000_000)
+    first_may_end = trio.Event()
+
+    async def handle_request(request):
+        if request.target == "/first":
+            await first_may_end.wait()
+        return messages.Response(status=200, headers=(), body=bytes(60_000))
+
+    async with _serving(handle_request, account=account) as (_, stream):
+        await stream.send_all(_request("/first") + _request("/1") * 30)
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        assert account.held_bytes <= 1_000_000
+        first_may_end.set()
+        received = b""
+        while received.count(b"HTTP/1.1 ") < 31:
+            received += await stream.receive_some()
+    statuses = [
+        line.split()[1]
+        for line in received.split(b"\r\n")
+        if b"HTTP/1.1 " in line
+    ]
+    assert statuses[0] == b"200"
+    assert statuses.count(b"200") > 1
+    assert set(statuses) == {b"200", b"502"}
+    assert account.held_bytes == 0
