Limit the trailers of chunked bodies

Cause: Callers saw a node end for lack of memory. llhttp keeps a trailer until its end, up to the 1 MiB that chunks may add to a body, and nothing counted it. Change: Bytes of a chunked message that come without a part of the body are limited like the head, and are counted. A client inside the published limits sends no trailers of that size.

--- a/shallotbridge/core/http1.py
+++ b/shallotbridge/core/http1.py
@@ -364,6 +364,8 @@
         buffer = None
         size = 0
         wire_size = 0
+        # Bytes since the last piece that had a part of the body.
+        bare_size = 0
         try:
             while True:
                 end = self._buffer.find(_HEAD_END)
@@ -376,11 +378,13 @@
                 if feed_length:
                     piece = self._buffer[:feed_length]
                     self._buffer = self._buffer[feed_length:]
-                    size -= len(parsed.body)
+                    decoded_size = -len(parsed.body)
                     self._feed(parser, piece)
-                    size += len(parsed.body)
+                    decoded_size += len(parsed.body)
+                    size += decoded_size
                     wire_size += feed_length
-                    self._check_chunked_size(size, wire_size)
+                    bare_size = 0 if decoded_size else bare_size + feed_length
+                    self._check_chunked_size(size, wire_size, bare_size)
                 if buffer is not None or (
                     len(parsed.body) > body_buffer.LARGE_BODY_BYTES
                 ):
@@ -394,7 +398,8 @@
                         return buffer.finish()
                     return bytes(parsed.body)
                 if end < 0:
-                    await self._hold_chunked(len(parsed.body))
+                    # llhttp holds a trailer until its end.
+                    await self._hold_chunked(len(parsed.body) + bare_size)
                     received = await self._receive()
                     if not received:
                         raise self._truncated("in a chunked body")
@@ -419,9 +424,11 @@
             await self._hold_message(step)
             self._counted_chunk_bytes += step
 
-    def _check_chunked_size(self, size, wire_size):
+    def _check_chunked_size(self, size, wire_size, bare_size):
         if size > self._maximum_body_bytes:
             raise self._body_too_large(size)
+        if bare_size > self._maximum_head_bytes:
+            raise self._head_too_large()
         if wire_size - size > MAXIMUM_CHUNK_OVERHEAD_BYTES:
             raise self._body_too_large(wire_size)
 
--- a/tests/core/test_http1.py
+++ b/tests/core/test_http1.py
@@ -260,3 +260,29 @@
     assert len(response.body) == size
     # The scripted stream copies the list of pieces once.
     assert peak_bytes < 8 * len(pieces) + 5 * size
+
+
+def _chunked_request(chunks, *, end=b"0\r\n\r\n"):
+    head = b"POST /r HTTP/1.1\r\n" + HOST
+    return head + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + end
+
+
+def _split_evenly(data, size=16 * 1024):
+    return [data[n : n + size] for n in range(0, len(data), size)]
+
+
+@pytest.mark.parametrize(
+    "chunks, expected",
+    [
+        # Chunk extensions, and a trailer that does not end.
+        ((b"1;" + b"a" * 4000 + b"\r\nx\r\n") * 400, "BodyTooLarge"),
+        (b"0\r\nx: " + b"a" * 100_000, "HeadTooLarge"),
+        (b"0\r\n" + b"x: a\r\n" * 20_000, "HeadTooLarge"),
+    ],
+)
+async def test_what_chunks_add_is_bounded(chunks, expected):
+    """Guards against memory and time for bytes that are not the body."""
+    pieces = _split_evenly(_chunked_request(chunks))
+    requests, error = await read_all(pieces)
+    assert not requests
+    assert error.__name__ == f"{expected}Error"
