Bound what the account gives out by resident memory

Cause: Callers saw a node end for lack of memory when several kinds of clients came at once and again. The heap holds more than is counted: arrays that are an eighth larger than their content, free memory between objects in use, copies. A share of 15 in 100 was kept for it, which was not enough. Change: The account reads the resident memory when what is held changes, and lowers its limit so that resident memory and received bytes stay below memory_mb. Free memory of the heap goes back to the system meanwhile. A small body with a length is received into an array of its size. A frame without room is dropped only after stalled connections were closed.

--- a/shallotbridge/core/http1.py
+++ b/shallotbridge/core/http1.py
@@ -186,12 +186,13 @@
         began = trio.current_time()
         account.paused_count += 1
         account.paused += 1
-        account.add(self._pause_bytes)
+        account.add_unread(self._pause_bytes)
         was_waiting = self._holder.is_waiting_for_client
         self._holder.is_waiting_for_client = False
         try:
             while not try_hold(size):
                 now = trio.current_time()
+                account.relieve(now)
                 if now - began >= MAXIMUM_PAUSE_SECONDS:
                     account.refused_count += 1
                     raise self._no_memory(size)
@@ -200,7 +201,7 @@
                 await trio.sleep(_PAUSE_CHECK_SECONDS)
         finally:
             account.paused -= 1
-            account.add(-self._pause_bytes)
+            account.add_unread(-self._pause_bytes)
             self._holder.is_waiting_for_client = was_waiting
             self._holder.progressed_at = trio.current_time()
 
@@ -296,21 +297,30 @@
             return await self._read_large(length)
         await self._hold_message(length)
         if len(self._buffer) < length:
-            # One array costs no more for many small pieces than for one.
-            buffer = bytearray(self._buffer)
-            while len(buffer) < length:
-                received = await self._receive()
-                if not received:
-                    raise self._truncated(
-                        f"{length - len(buffer)} bytes before its end"
-                    )
-                buffer += received
-                self._holder.on_progress(len(received), trio.current_time())
-            self._buffer = bytes(buffer)
+            self._buffer = await self._receive_small(length)
         body = self._buffer[:length]
         self._buffer = self._buffer[length:]
         return body
 
+    async def _receive_small(self, length):
+        """Return the buffered bytes and those that follow, as one object.
+
+        An array of the final size takes no more than what is counted; one that
+        grows is larger than its content, and fragments the heap.
+        """
+        buffer = bytearray(length)
+        size = 0
+        received = self._buffer
+        while True:
+            buffer[size : size + len(received)] = received
+            size += len(received)
+            if size >= length:
+                return bytes(buffer)
+            received = await self._receive()
+            if not received:
+                raise self._truncated(f"{length - size} bytes before its end")
+            self._holder.on_progress(len(received), trio.current_time())
+
     async def _read_large(self, length):
         buffer = body_buffer.BodyBuffer(holder=self._holder, size_hint=length)
         self._enlarge_socket_buffer()
@@ -647,11 +657,13 @@
         size = memory_account.SOCKET_BUFFER_BYTES
         if expect is not None and self._holder.try_hold(size):
             self._socket_buffer_bytes = size
+            self._holder.account.unread_bytes += size
             expect()
 
     def _restore_socket_buffer(self):
         if self._socket_buffer_bytes:
             self._holder.release(self._socket_buffer_bytes)
+            self._holder.account.unread_bytes -= self._socket_buffer_bytes
             self._socket_buffer_bytes = 0
             self._stream.expect_large_message(False)
 
--- a/shallotbridge/core/memory_account.py
+++ b/shallotbridge/core/memory_account.py
@@ -34,6 +34,19 @@
 MINIMUM_RATIO = 0.25
 # Part of the memory that the connections themselves may take.
 CONNECTIONS_RATIO = 0.5
+# Part of the memory that stays free of resident memory and of received bytes,
+# where resident memory is measured.
+RESIDENT_RESERVE_RATIO = 1 / 16
+# The account gives out at least this part of its limit. Memory that the
+# allocator keeps is resident, but is used again.
+MINIMUM_LIMIT_RATIO = 1 / 4
+# What the kernel may receive of a connection before it is read, unless its
+# receive buffer was enlarged.
+UNREAD_BYTES = 16 * 1024
+# Change of what is held after which resident memory is measured again.
+MEASURE_INTERVAL_BYTES = 512 * 1024
+# Minimum interval between two returns of free memory to the system.
+TRIM_INTERVAL_SECONDS = 1.0
 # File descriptors of the process that the platform reserves for files.
 RESERVED_DESCRIPTORS = 200
 # Part of the others for client connections; the rest is for the connections
@@ -103,9 +116,21 @@
     on_closed : callable
         ``on_closed(reason, holder)`` is called with each connection that the
         account closes.
+    memory_bytes : float
+        Memory of the process.
+    read_resident_bytes : callable
+        Returns the resident memory of the process, or None.
+    trim : callable
+        Returns free memory of the process to the system.
 
     Attributes
     ----------
+    limit_bytes : int
+        What the account gives out now: `limit_bytes` of the constructor, or
+        less while resident memory exceeds what is counted.
+    unread_bytes : int
+        The part of what is held that is not resident, but in receive buffers
+        of sockets that were enlarged.
     held_bytes : int
     peak_bytes : int
         Largest value of `held_bytes` so far.
@@ -134,8 +159,18 @@
         limit_bytes=UNLIMITED_BYTES,
         connection_limit=math.inf,
         on_closed=lambda reason, holder: None,
+        memory_bytes=math.inf,
+        read_resident_bytes=lambda: None,
+        trim=lambda: None,
     ):
+        self._full_limit_bytes = limit_bytes
         self.limit_bytes = limit_bytes
+        self._memory_bytes = memory_bytes
+        self._read_resident_bytes = read_resident_bytes
+        self._trim = trim
+        self._next_trim_at = -math.inf
+        self._measured_at_bytes = 0
+        self.unread_bytes = 0
         self._connection_limit = connection_limit
         self._on_closed = on_closed
         self._holders = set()
@@ -156,7 +191,7 @@
     def maximum_message_bytes(self):
         """Size of the largest message that fits if nothing else is held."""
         return (
-            self.limit_bytes
+            self._full_limit_bytes
             * (1 - SMALL_RESERVE_RATIO)
             * SHARE_FACTOR
             / (SHARE_FACTOR + 1)
@@ -164,6 +199,10 @@
 
     def has_room(self, held_bytes, size):
         """Return whether a connection that holds bytes may hold more."""
+        if abs(self.held_bytes - self._measured_at_bytes) > (
+            MEASURE_INTERVAL_BYTES
+        ):
+            self.measure()
         total = held_bytes + size
         free = self.limit_bytes - self.held_bytes - size
         if total <= SMALL_BYTES:
@@ -177,6 +216,42 @@
         if self.held_bytes > self.peak_bytes:
             self.peak_bytes = self.held_bytes
 
+    def add_unread(self, size):
+        """Count bytes in the receive buffer of a socket, or count fewer."""
+        self.unread_bytes += size
+        self.add(size)
+
+    def measure(self):
+        """Adapt the limit to the resident memory of the process.
+
+        The heap has more than is counted: copies, and free memory between
+        objects that are in use.
+        """
+        self._measured_at_bytes = self.held_bytes
+        resident = self._read_resident_bytes()
+        if resident is None:
+            return
+        free = (
+            self._memory_bytes * (1 - RESIDENT_RESERVE_RATIO)
+            - resident
+            - self.unread_bytes
+            - len(self._holders) * UNREAD_BYTES
+        )
+        self.limit_bytes = max(
+            self._full_limit_bytes * MINIMUM_LIMIT_RATIO,
+            min(self._full_limit_bytes, self.held_bytes + free),
+        )
+
+    def relieve(self, now):
+        """Return free memory to the system if the limit had to be lowered."""
+        self.measure()
+        if self.limit_bytes < self._full_limit_bytes and (
+            now >= self._next_trim_at
+        ):
+            self._next_trim_at = now + TRIM_INTERVAL_SECONDS
+            self._trim()
+            self.measure()
+
     def open_connection(self, holder, now):
         """Count a client connection; return whether it may stay.
 
@@ -184,6 +259,8 @@
         whose clients the node waits are closed: those that never had a
         request first, the longest idle first.
         """
+        if not self._has_room_for_connection():
+            self.relieve(now)
         if not self._has_room_for_connection():
             self._close_idle()
             if not self._has_room_for_connection():
@@ -224,6 +301,7 @@
         if now < self._next_scan_at:
             return
         self._next_scan_at = now + SCAN_INTERVAL_SECONDS
+        self.relieve(now)
         stalled = [
             each
             for each in self._holders
--- a/shallotbridge/peers/frames.py
+++ b/shallotbridge/peers/frames.py
@@ -283,9 +283,10 @@
         elif not content.try_reserve(size):
             account = self._holder.account
             account.close_stalled(trio.current_time(), size)
-            account.refused_count += 1
-            content.discard()
-            return None
+            if not content.try_reserve(size):
+                account.refused_count += 1
+                content.discard()
+                return None
         content.append(received)
         return content
 
--- a/shallotbridge/platform/program.py
+++ b/shallotbridge/platform/program.py
@@ -14,6 +14,7 @@
 from ..core import decisions
 from ..core import errors
 from ..core import logs
+from ..core import resident_memory
 from . import deferred_imports
 from . import items
 from . import names
@@ -153,6 +154,8 @@
     store_client = store.StoreClient(
         open_stream=network.open_stream, address=address, port=port
     )
+    process_memory = resident_memory.ResidentMemory()
+    process_memory.start()
     node = node_module.Node(
         settings=node_settings,
         header_names=names.HEADER_NAMES,
@@ -167,6 +170,8 @@
         metrics=metrics_module.Metrics(),
         metrics_port=metrics_port,
         process_started_at=started_at,
+        read_resident_bytes=process_memory.read,
+        trim_heap=resident_memory.trim_heap,
     )
     with trio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
@@ -183,6 +188,7 @@
             node.close()
             nursery.cancel_scope.cancel()
     store_client.close()
+    process_memory.close()
     decisions.record("node_stopped", chosen=node_settings.own_host.name)
 
 
--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -149,6 +149,9 @@
         Port of the metrics endpoint; None disables it.
     process_started_at : float, optional
         Start of the process on trio's clock, before its imports.
+    read_resident_bytes, trim_heap : callable, optional
+        See ``memory_account.MemoryAccount``. Only a node with a process of
+        its own can use them.
     """
 
     def __init__(
@@ -167,6 +170,8 @@
         metrics,
         metrics_port=None,
         process_started_at=-math.inf,
+        read_resident_bytes=lambda: None,
+        trim_heap=lambda: None,
     ):
         self._settings = settings
         self._readiness_path = readiness_path
@@ -265,6 +270,9 @@
             rate=CLOSED_LINES_PER_SECOND
         )
         self._account = memory_account.MemoryAccount(
+            memory_bytes=settings.memory_bytes,
+            read_resident_bytes=read_resident_bytes,
+            trim=trim_heap,
             limit_bytes=memory_account.derive_limit_bytes(
                 settings.memory_bytes
             ),
--- a/tests/core/test_memory_account.py
+++ b/tests/core/test_memory_account.py
@@ -90,3 +90,80 @@
     busy = memory_account.Holder(account=account)
     assert not account.open_connection(busy, 6.0)
     assert account.connection_count == 3
+
+
+def _measured(uncounted_bytes, **options):
+    """Return an account of a process with 200 MB, and what it measures.
+
+    All that is held is resident, but for received bytes that nobody reads.
+    """
+    measured = {"uncounted_bytes": uncounted_bytes}
+
+    def read_resident_bytes():
+        return (
+            measured["uncounted_bytes"]
+            + account.held_bytes
+            - account.unread_bytes
+        )
+
+    account = memory_account.MemoryAccount(
+        limit_bytes=LIMIT_BYTES,
+        memory_bytes=200_000_000,
+        read_resident_bytes=read_resident_bytes,
+        **options,
+    )
+    return account, measured
+
+
+def test_memory_that_is_not_counted_lowers_the_limit():
+    """Guards against a process that ends for memory that nothing counts."""
+    account, measured = _measured(50_000_000)
+    holder, _ = _open(account)
+    _fill(holder)
+    assert account.held_bytes > LIMIT_BYTES * 0.6
+    assert account.limit_bytes == LIMIT_BYTES
+    holder.release(holder.held_bytes)
+    measured["uncounted_bytes"] = 150_000_000
+    _fill(holder)
+    # 187.5 MB may be resident.
+    assert 0 < account.held_bytes <= 37_500_000
+    assert account.limit_bytes == 37_500_000 - memory_account.UNREAD_BYTES
+
+
+def test_received_bytes_that_nobody_reads_are_part_of_the_memory():
+    """Guards against memory of sockets, which the host counts as well."""
+    account, measured = _measured(150_000_000)
+    account.add_unread(10_000_000)
+    account.measure()
+    assert account.limit_bytes == 37_500_000
+
+
+def test_memory_that_the_allocator_keeps_refuses_no_client_for_good():
+    """Guards against a node that refuses all after its heap was large.
+
+    Free memory goes back to the system; what the allocator can't return is
+    used again.
+    """
+    trimmed = []
+
+    def trim():
+        trimmed.append(True)
+        measured["uncounted_bytes"] = 60_000_000
+
+    account, measured = _measured(199_000_000, trim=trim)
+    account.measure()
+    assert account.limit_bytes == LIMIT_BYTES * 0.25
+    holder = memory_account.Holder(account=account)
+    assert account.open_connection(holder, 1.0)
+    account.relieve(1.0)
+    account.relieve(1.1)
+    assert trimmed == [True]
+    assert account.limit_bytes == LIMIT_BYTES
+
+
+def test_a_body_that_the_host_can_hold_later_is_not_too_large():
+    """Guards against 413 while memory is short, which ends all retries."""
+    account, _ = _measured(190_000_000)
+    account.measure()
+    assert account.limit_bytes < LIMIT_BYTES
+    assert account.maximum_message_bytes > LIMIT_BYTES * 0.6
