Keep no long names and ids of clients

Cause: Found by reading, not seen by callers. The cache of valid header names kept 1,024 names of up to 16 KB for good, 16 MB that no account knows. Each connection to an upstream kept up to 64 ids of refused requests, which clients choose as well. Change: Names of more than 64 characters are not cached; of the ids, hashes are kept. Two ids with one hash cost the reuse of a connection only. The ids have no test of their own; not measured.

--- a/shallotbridge/core/http1_encoding.py
+++ b/shallotbridge/core/http1_encoding.py
@@ -7,6 +7,8 @@
 
 # Value of a content-length header; 18 digits fit into 64 bits.
 LENGTH = re.compile(r"[0-9]{1,18}", re.ASCII)
+# Whether a header name is valid is kept for names up to this length.
+_MAXIMUM_CACHED_NAME_BYTES = 64
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9a-z-]+", re.ASCII)
 _METHOD = re.compile(r"[A-Z-]{1,32}", re.ASCII)
 _ENCODED_TARGET = re.compile(r"/[\x21-\x7e]*|\*")
@@ -74,8 +76,15 @@
     return [header for header in headers if header.name not in removed]
 
 
-@functools.lru_cache(maxsize=1024)
 def _is_header_name(name):
+    # Clients choose the names; 1,024 long ones would take 16 MB.
+    if len(name) > _MAXIMUM_CACHED_NAME_BYTES:
+        return _HEADER_NAME.fullmatch(name) is not None
+    return _is_short_header_name(name)
+
+
+@functools.lru_cache(maxsize=1024)
+def _is_short_header_name(name):
     return _HEADER_NAME.fullmatch(name) is not None
 
 
--- a/shallotbridge/traffic/upstream_client.py
+++ b/shallotbridge/traffic/upstream_client.py
@@ -36,9 +36,10 @@
 
     Attributes
     ----------
-    refused_ids : set of str
-        Ids of the requests that were refused on it. If one of them is sent
-        again here, a late duplicate of the refusal looks like its response.
+    refused_ids : set of int
+        Hashes of the ids of the requests that were refused on it; clients
+        choose the ids, and their length. If one of the requests is sent again
+        here, a late duplicate of the refusal looks like its response.
     """
 
     __slots__ = (
@@ -255,7 +256,7 @@
             or response.status == 421
         ):
             connection.refused_ids.add(
-                request.header(self._header_names.request_id)
+                hash(request.header(self._header_names.request_id))
             )
         is_reusable = (
             connection.reader.is_persistent
@@ -313,7 +314,7 @@
             if not is_idempotent and age > NON_IDEMPOTENT_MAXIMUM_IDLE_SECONDS:
                 return None
             if request_id is not None and (
-                request_id in connection.refused_ids
+                hash(request_id) in connection.refused_ids
             ):
                 continue
             self._idle.remove(connection)
--- a/tests/core/test_http1.py
+++ b/tests/core/test_http1.py
@@ -246,6 +246,23 @@
         )
 
 
+def test_long_header_names_take_no_memory_later():
+    """Guards against memory that a client fills with names of its choice."""
+    tracemalloc.start()
+    try:
+        for number in range(300):
+            name = f"x-{number}-" + "a" * 8000
+            header = model.Header(name=name, value="a")
+            http1_encoding.encode_response(
+                model.Response(status=200, headers=(header,))
+            )
+        name = header = None
+        held_bytes = tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+    assert held_bytes < 300_000
+
+
 def test_a_body_in_many_small_pieces_takes_no_more_memory():
     """Guards against clients that multiply memory with tiny packets."""
     size = 60_000
