Decode line breaks in chunked bodies at once

Cause: Callers got no answer while a node decoded a chunked body of line breaks, about 1 s a MB. Bytes were passed to llhttp up to each CRLF CRLF, four at a time, and the rest of the buffer was copied each time. Change: A chunked message ends in an empty line after a line that is not empty: its last chunk size or a trailer. Bytes are passed on up to such a place only, as views of the buffer. A body that llhttp ends elsewhere is malformed. The tests of packet splits and mutated messages pass.

--- a/shallotbridge/core/http1.py
+++ b/shallotbridge/core/http1.py
@@ -61,6 +61,9 @@
     rb"(?<!\r)\n|\r(?=[^\n])|\n[ \t]|[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]"
 )
 _EMPTY_LINES = re.compile(rb"(?:\r\n)*")
+# A chunked message ends in an empty line after its last chunk size or trailer.
+_CHUNKED_END = re.compile(rb"[^\r\n]\r\n\r\n")
+_CHUNKED_END_BYTES = 5
 _TARGET = re.compile(rb"/[\x21-\x7e]*|\*")
 
 
@@ -365,12 +368,7 @@
         self._holder.on_progress(size, trio.current_time())
 
     async def _read_chunked(self, parser, parsed):
-        """Decode a chunked body.
-
-        llhttp does not report where a message ends, but a chunked message
-        always ends in CRLF CRLF. Bytes are passed to llhttp only up to each
-        CRLF CRLF, so that it never gets bytes of the next message.
-        """
+        """Decode a chunked body."""
         buffer = None
         size = 0
         wire_size = 0
@@ -378,23 +376,13 @@
         bare_size = 0
         try:
             while True:
-                end = self._buffer.find(_HEAD_END)
-                if end >= 0:
-                    feed_length = end + len(_HEAD_END)
-                else:
-                    feed_length = max(
-                        0, len(self._buffer) - len(_HEAD_END) + 1
-                    )
-                if feed_length:
-                    piece = self._buffer[:feed_length]
-                    self._buffer = self._buffer[feed_length:]
-                    decoded_size = -len(parsed.body)
-                    self._feed(parser, piece)
-                    decoded_size += len(parsed.body)
-                    size += decoded_size
-                    wire_size += feed_length
-                    bare_size = 0 if decoded_size else bare_size + feed_length
-                    self._check_chunked_size(size, wire_size, bare_size)
+                decoded_size = len(parsed.body)
+                taken = self._feed_chunked(parser, parsed)
+                decoded_size = len(parsed.body) - decoded_size
+                size += decoded_size
+                wire_size += taken
+                bare_size = 0 if decoded_size else bare_size + taken
+                self._check_chunked_size(size, wire_size, bare_size)
                 if buffer is not None or (
                     len(parsed.body) > body_buffer.LARGE_BODY_BYTES
                 ):
@@ -407,17 +395,14 @@
                     if buffer is not None:
                         return buffer.finish()
                     return bytes(parsed.body)
-                if end < 0:
-                    # llhttp holds a trailer until its end.
-                    await self._hold_chunked(len(parsed.body) + bare_size)
-                    received = await self._receive()
-                    if not received:
-                        raise self._truncated("in a chunked body")
-                    self._holder.on_progress(
-                        len(received), trio.current_time()
-                    )
-                    self._buffer += received
-                    self._hold(size + len(self._buffer))
+                # llhttp holds a trailer until its end.
+                await self._hold_chunked(len(parsed.body) + bare_size)
+                received = await self._receive()
+                if not received:
+                    raise self._truncated("in a chunked body")
+                self._holder.on_progress(len(received), trio.current_time())
+                self._buffer += received
+                self._hold(size + len(self._buffer))
         except BaseException:
             if buffer is not None:
                 buffer.discard()
@@ -426,6 +411,36 @@
             parsed.body = bytearray()
             self._restore_socket_buffer()
 
+    def _feed_chunked(self, parser, parsed):
+        """Pass buffered bytes of a chunked body to llhttp.
+
+        llhttp does not report where a message ends, so that bytes are passed
+        only up to each place where it may end.
+
+        Returns
+        -------
+        int
+            Number of bytes that were taken from the buffer.
+        """
+        data = self._buffer
+        view = memoryview(data)
+        position = 0
+        while not parsed.is_complete:
+            found = _CHUNKED_END.search(data, position)
+            if found is None:
+                end = max(position, len(data) - _CHUNKED_END_BYTES + 1)
+            else:
+                end = found.end()
+            if end > position:
+                self._feed(parser, view[position:end])
+                position = end
+            if found is None:
+                break
+        if parsed.is_complete and found is None:
+            raise self._malformed("a chunked body without an empty line")
+        self._buffer = data[position:]
+        return position
+
     async def _hold_chunked(self, size):
         """Count the bytes of a chunked body that is still small."""
         missing = size - self._counted_chunk_bytes
--- a/tests/core/test_http1.py
+++ b/tests/core/test_http1.py
@@ -303,3 +303,32 @@
     requests, error = await read_all(pieces)
     assert not requests
     assert error.__name__ == f"{expected}Error"
+
+
+@pytest.mark.parametrize("content", [b"\r\n", b"x\r\n\r\n", b"0\r\n\r\n"])
+async def test_line_breaks_in_a_body_do_not_end_it(content):
+    """Guards against a message that ends within its body."""
+    body = content * (40_000 // len(content))
+    chunk = b"%x\r\n%b\r\n" % (len(body), body)
+    pieces = _split_evenly(_chunked_request(chunk * 3) + GET)
+    requests, error = await read_all(pieces)
+    assert error is None
+    assert [each.body for each in requests] == [body * 3, b""]
+
+
+async def test_bytes_of_line_breaks_are_decoded_at_once(monkeypatch):
+    """Guards against a node that stands still while it decodes a body."""
+    fed = []
+    feed = http1.RequestReader._feed
+
+    def count_feeds(reader, parser, data):
+        fed.append(len(data))
+        feed(reader, parser, data)
+
+    monkeypatch.setattr(http1.RequestReader, "_feed", count_feeds)
+    chunk = b"8000\r\n" + b"\r\n" * 0x4000 + b"\r\n"
+    pieces = _split_evenly(_chunked_request(chunk * 16))
+    requests, error = await read_all(pieces)
+    assert error is None and len(requests[0].body) == 16 * 0x8000
+    # A line break follows the size of each chunk.
+    assert len(fed) <= len(pieces) + 16 + 3
