Let other tasks run between two pieces that are decoded

Cause: Callers got no answer while many clients sent bytes that take processor time. A stream that has bytes does not wait, so a connection whose client sent faster than the node decoded was read to its end, and all such connections came before an ordinary request. Turns are given one at a time, first to the connection that was served least since it was idle, and all tasks run between two. A stream that stays readable lets others run after 256 KiB.

--- a/shallotbridge/core/http1.py
+++ b/shallotbridge/core/http1.py
@@ -18,6 +18,7 @@
 from . import http1_encoding
 from . import memory_account
 from . import model
+from . import turns as turns_module
 
 MAXIMUM_HEAD_BYTES = 32 * 1024
 MAXIMUM_REQUEST_BODY_BYTES = 1024 * 1024
@@ -119,9 +120,13 @@
         maximum_head_bytes=MAXIMUM_HEAD_BYTES,
         budget=None,
         holder=None,
+        turns=None,
     ):
         self._stream = stream
         self._budget = budget
+        self._turns = turns or turns_module.TurnQueue()
+        # Work in turns since the connection was idle.
+        self._served_bytes = 0
         self._held_bytes = 0
         self._holder = holder or memory_account.unlimited_holder()
         # What the message that was read last holds besides a large body,
@@ -377,7 +382,9 @@
         try:
             while True:
                 decoded_size = len(parsed.body)
-                taken = self._feed_chunked(parser, parsed)
+                taken = await self._in_turn(
+                    len(self._buffer), self._feed_chunked, parser, parsed
+                )
                 decoded_size = len(parsed.body) - decoded_size
                 size += decoded_size
                 wire_size += taken
@@ -411,6 +418,17 @@
             parsed.body = bytearray()
             self._restore_socket_buffer()
 
+    async def _in_turn(self, size, function, *arguments):
+        """Call a function that takes processor time, in turn if it is much."""
+        if size <= turns_module.SMALL_WORK_BYTES:
+            return function(*arguments)
+        await self._turns.take(self._served_bytes)
+        try:
+            return function(*arguments)
+        finally:
+            self._served_bytes += size
+            await self._turns.release()
+
     def _feed_chunked(self, parser, parsed):
         """Pass buffered bytes of a chunked body to llhttp.
 
@@ -482,6 +500,8 @@
         Time limit from the first to the last byte of a head, seconds.
     holder : memory_account.Holder, optional
         Counts what the connection holds.
+    turns : turns.TurnQueue, optional
+        Orders the decoding of bytes of several connections.
 
     Attributes
     ----------
@@ -501,12 +521,14 @@
         maximum_body_bytes=MAXIMUM_REQUEST_BODY_BYTES,
         head_timeout_seconds=HEAD_TIMEOUT_SECONDS,
         holder=None,
+        turns=None,
     ):
         super().__init__(
             stream=stream,
             maximum_body_bytes=maximum_body_bytes,
             maximum_head_bytes=maximum_head_bytes,
             holder=holder,
+            turns=turns,
         )
         self._head_timeout_seconds = head_timeout_seconds
         # Header fields of the request that was read last.
@@ -539,6 +561,7 @@
                 ]
             if self._buffer and self._buffer != b"\r":
                 return True
+            self._served_bytes = 0
             received = await self._receive()
             if not received:
                 return False
@@ -573,7 +596,7 @@
         head = await self._read_head()
         parsed = _ParsedMessage()
         parser = httptools.HttpRequestParser(parsed)
-        self._feed(parser, head)
+        await self._in_turn(len(head), self._feed, parser, head)
         if not parsed.is_head_done:
             raise self._malformed("the head is not a request head")
         self._fields = parsed.fields
--- a/shallotbridge/traffic/client_connections.py
+++ b/shallotbridge/traffic/client_connections.py
@@ -11,6 +11,7 @@
 from ..core import http1
 from ..core import http1_encoding
 from ..core import memory_account
+from ..core import turns
 
 # Maximum concurrent requests of one connection. At this number, reading pauses
 # until all of them are answered.
@@ -56,6 +57,7 @@
         self._handle_framing_error = handle_framing_error
         self._read_limits = read_limits
         self._account = account or memory_account.MemoryAccount()
+        self._turns = turns.TurnQueue()
         self._connections = set()
         self._is_draining = False
         self.in_flight_count = 0
@@ -94,6 +96,7 @@
                 maximum_body_bytes=limits.maximum_body_bytes,
                 head_timeout_seconds=limits.head_timeout_seconds,
                 holder=holder,
+                turns=self._turns,
             ),
         )
         holder.close = functools.partial(self._close_at_once, connection)
--- a/shallotbridge/transports/tcp.py
+++ b/shallotbridge/transports/tcp.py
@@ -33,6 +33,9 @@
 # larger buffer.
 INITIAL_RECEIVE_BUFFER_BYTES = 16 * 1024
 UNACKNOWLEDGED_TIMEOUT_MILLISECONDS = 3000
+# A stream whose peer keeps it readable lets other tasks run after this many
+# bytes.
+BYTES_BETWEEN_CHECKPOINTS = 256 * 1024
 
 
 class TcpStream(trio.abc.HalfCloseableStream):
@@ -57,6 +60,7 @@
         # Whether the last read emptied the receive buffer, so that the next
         # one waits first.
         self._is_buffer_empty = False
+        self._bytes_without_wait = 0
         connection.setblocking(False)
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
@@ -74,20 +78,28 @@
         """Return received bytes; empty at the end of the stream."""
         self._check_open()
         if self._is_buffer_empty:
-            await trio.lowlevel.wait_readable(self._socket)
+            await self._wait_readable()
+        elif self._bytes_without_wait >= BYTES_BETWEEN_CHECKPOINTS:
+            self._bytes_without_wait = 0
+            await trio.lowlevel.checkpoint()
         else:
             await trio.lowlevel.checkpoint_if_cancelled()
         while True:
             try:
                 received = self._socket.recv(max_bytes)
             except BlockingIOError:
-                await trio.lowlevel.wait_readable(self._socket)
+                await self._wait_readable()
             except OSError as error:
                 raise trio.BrokenResourceError(str(error)) from error
             else:
                 self._is_buffer_empty = 0 < len(received) < max_bytes
+                self._bytes_without_wait += len(received)
                 return received
 
+    async def _wait_readable(self):
+        self._bytes_without_wait = 0
+        await trio.lowlevel.wait_readable(self._socket)
+
     def expect_large_message(self, is_expected=True):
         """Choose how much the kernel receives before it is read."""
         size = (
--- a/tests/core/test_http1.py
+++ b/tests/core/test_http1.py
@@ -332,3 +332,33 @@
     assert error is None and len(requests[0].body) == 16 * 0x8000
     # A line break follows the size of each chunk.
     assert len(fed) <= len(pieces) + 16 + 3
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        _chunked_request(b"1\r\nx\r\n" * 100_000),
+        b"".join(
+            (GET[:-2], b"x: y\r\n" * 1000, b"\r\n") * 100,
+        ),
+    ],
+    ids=["chunks", "heads"],
+)
+async def test_other_tasks_run_while_a_connection_is_read(data):
+    """Guards against a node that stands still while bytes keep coming."""
+    passes = 0
+
+    async def count_passes():
+        nonlocal passes
+        while True:
+            await trio.lowlevel.checkpoint()
+            passes += 1
+
+    pieces = _split_evenly(data)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(count_passes)
+        _, error = await read_all(pieces)
+        nursery.cancel_scope.cancel()
+    assert error is None
+    # The first and the last piece may be small.
+    assert passes >= len(pieces) - 2
--- a/tests/transports/test_tcp.py
+++ b/tests/transports/test_tcp.py
@@ -114,3 +114,31 @@
         await tcp.open_stream(address, 80)
     with pytest.raises(OSError):
         await tcp.open_stream("127.0.0.1", 2**70)
+
+
+class _ReadableSocket(socket.socket):
+    """Has bytes to read at any time."""
+
+    def recv(self, size, flags=0):
+        return bytes(size)
+
+
+async def test_a_peer_that_sends_all_the_time_lets_other_tasks_run():
+    """Guards against one fast sender that stops all other work."""
+    passes = 0
+
+    async def count_passes():
+        nonlocal passes
+        while True:
+            await trio.lowlevel.checkpoint()
+            passes += 1
+
+    with _ReadableSocket() as connection:
+        stream = tcp.TcpStream(connection)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(count_passes)
+            for _ in range(256):
+                await stream.receive_some(65536)
+            nursery.cancel_scope.cancel()
+    # 16 MB.
+    assert passes >= 32
