Receive segments that fit into the smaller receive buffer

Cause: Callers got no answer to large bodies on a kept connection (CONFIG). The receive buffer is made small again after a large body. The client has seen the larger window; the segments of the loopback device, 64 KB, don't fit into the smaller one, and the kernel sends what fits only by its timer of 0.2 s. Change: Listeners limit the segments that they receive to 4 KiB, a quarter of the smaller buffer. Between hosts segments are smaller already.

--- a/shallotbridge/transports/tcp.py
+++ b/shallotbridge/transports/tcp.py
@@ -32,6 +32,10 @@
 # clients that begin large bodies at once made 39 MB of unread bytes with the
 # larger buffer.
 INITIAL_RECEIVE_BUFFER_BYTES = 16 * 1024
+# Largest segment that an accepted connection receives. The loopback device's
+# segments of 64 KB don't fit into the smaller receive buffer: once the larger
+# one was announced, its kernel would send only what a timer of 0.2 s allows.
+MAXIMUM_RECEIVED_SEGMENT_BYTES = 4 * 1024
 UNACKNOWLEDGED_TIMEOUT_MILLISECONDS = 3000
 # A stream whose peer keeps it readable lets other tasks run after this many
 # bytes.
@@ -366,6 +370,9 @@
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     # Accepted connections inherit the limits.
     _limit_buffers(listener, INITIAL_RECEIVE_BUFFER_BYTES)
+    listener.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_MAXSEG, MAXIMUM_RECEIVED_SEGMENT_BYTES
+    )
     try:
         listener.bind((address, port))
         listener.listen(LISTEN_BACKLOG)
--- a/tests/transports/test_tcp.py
+++ b/tests/transports/test_tcp.py
@@ -142,3 +142,26 @@
             nursery.cancel_scope.cancel()
     # 16 MB.
     assert passes >= 32
+
+
+async def test_segments_fit_into_the_receive_buffer(nursery):
+    """Guards against a sender that waits for more room than there is.
+
+    After a large message the receive buffer is small again.
+    """
+    accepted = []
+
+    async def handle(stream):
+        accepted.append(
+            stream._socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG)
+        )
+
+    _, port = await nursery.start(tcp.serve, "127.0.0.1", 0, handle)
+    async with await tcp.open_stream("127.0.0.1", port) as stream:
+        assert await stream.receive_some(1) == b""
+        accepted.append(
+            stream._socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG)
+        )
+    for size in accepted:
+        assert 2 * size <= tcp.INITIAL_RECEIVE_BUFFER_BYTES
+    nursery.cancel_scope.cancel()
