Serve bodies of legal size in chunks of any size

What chunks add to a body was limited to 1 MiB, whatever the size of the body. Change: The limit grows with the body, by 16 bytes for each of its bytes. Chunks of one byte with a padded size stay below it; extensions without an end don't.

--- a/shallotbridge/core/http1.py
+++ b/shallotbridge/core/http1.py
@@ -23,8 +23,11 @@
 MAXIMUM_HEAD_BYTES = 32 * 1024
 MAXIMUM_REQUEST_BODY_BYTES = 1024 * 1024
 MAXIMUM_RESPONSE_BODY_BYTES = 8 * 1024 * 1024
-# Limit of the bytes that chunk sizes, extensions and trailers add to a body.
+# Limit of the bytes that chunk sizes and extensions add to a body: this many
+# and a multiple of the body. A chunk of one byte adds 5 bytes, or 12 if its
+# size is padded to 8 digits.
 MAXIMUM_CHUNK_OVERHEAD_BYTES = 1024 * 1024
+MAXIMUM_CHUNK_OVERHEAD_RATIO = 16
 # Idle timeout of a client connection. It is longer than the idle timeout of
 # this package's connection pools, so that the pools close first.
 IDLE_TIMEOUT_SECONDS = 60.0
@@ -472,7 +475,9 @@
             raise self._body_too_large(size)
         if bare_size > self._maximum_head_bytes:
             raise self._head_too_large()
-        if wire_size - size > MAXIMUM_CHUNK_OVERHEAD_BYTES:
+        if wire_size - size > (
+            MAXIMUM_CHUNK_OVERHEAD_BYTES + size * MAXIMUM_CHUNK_OVERHEAD_RATIO
+        ):
             raise self._body_too_large(wire_size)
 
     def _is_persistent(self, parsed, version):
--- a/tests/core/test_http1.py
+++ b/tests/core/test_http1.py
@@ -288,6 +288,22 @@
     return [data[n : n + size] for n in range(0, len(data), size)]
 
 
+@pytest.mark.parametrize("chunk_bytes", [1, 16])
+async def test_a_body_in_small_chunks_is_read(chunk_bytes):
+    """Guards against limits that a body of legal size meets."""
+    count = 250_000
+    chunk = b"%x\r\n%b\r\n" % (chunk_bytes, b"x" * chunk_bytes)
+    stream = streams.ScriptedStream(
+        _split_evenly(_chunked_request(chunk * count) + GET)
+    )
+    reader = http1.RequestReader(
+        stream=stream, maximum_body_bytes=chunk_bytes * count
+    )
+    for size in (chunk_bytes * count, 0):
+        assert await reader.wait_request()
+        assert len((await reader.read()).body) == size
+
+
 @pytest.mark.parametrize(
     "chunks, expected",
     [
