Search a path only up to the longest prefix

A path of 16,000 slashes took 0.07 s of processor time to route, so that few clients could keep a node busy. Change: A configuration knows the length of its longest path prefix; only slashes up to there are looked up.

--- a/shallotbridge/traffic/model.py
+++ b/shallotbridge/traffic/model.py
@@ -111,6 +111,8 @@
         For each host name, a mapping of path prefixes to routes.
     customers_by_key : mapping of str to Customer, or None
         None if requests need no key.
+    longest_prefix_length : int
+        Length of the longest path prefix of all routes.
     """
 
     version: int
@@ -120,6 +122,20 @@
     customers_by_key: typing.Mapping[str, Customer] | None = dataclasses.field(
         default=None, repr=False
     )
+    longest_prefix_length: int = dataclasses.field(
+        init=False, repr=False, compare=False
+    )
+
+    def __post_init__(self):
+        longest = max(
+            (
+                len(prefix)
+                for routes in self.routes_by_host.values()
+                for prefix in routes
+            ),
+            default=0,
+        )
+        object.__setattr__(self, "longest_prefix_length", longest)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/shallotbridge/traffic/routing.py
+++ b/shallotbridge/traffic/routing.py
@@ -38,8 +38,9 @@
     routes_by_prefix = configuration.routes_by_host.get(name)
     if routes_by_prefix is not None:
         path = target.partition("?")[0]
-        end = len(path)
         # Each prefix ends with a slash, so only prefixes up to a slash match.
+        # A path of slashes only is not searched beyond the longest prefix.
+        end = min(len(path), configuration.longest_prefix_length)
         while (end := path.rfind("/", 0, end)) >= 0:
             route = routes_by_prefix.get(path[: end + 1])
             if route is not None:
--- a/tests/traffic/test_routing.py
+++ b/tests/traffic/test_routing.py
@@ -1,5 +1,7 @@
 """Tests of route lookup and traffic splits."""
 
+import dataclasses
+
 import pytest
 
 from shallotbridge.core import errors
@@ -44,6 +46,26 @@
         routing.find_route(configuration, host, target)
 
 
+def test_a_path_of_slashes_takes_few_lookups():
+    """Guards against requests that cost much processor time to route."""
+
+    class CountingRoutes(dict):
+        lookups = 0
+
+        def get(self, prefix):
+            self.lookups += 1
+            return super().get(prefix)
+
+    routes = CountingRoutes({"/shop/": builders.route()})
+    configuration = dataclasses.replace(
+        builders.configuration(builders.route()),
+        routes_by_host={"shop.example": routes},
+    )
+    with pytest.raises(errors.NoRouteError):
+        routing.find_route(configuration, "shop.example", "/" * 16_000)
+    assert routes.lookups <= len("/shop/")
+
+
 def test_split_is_exact_over_each_hundred_requests():
     """Guards against shares that are only right on average."""
     split = builders.route(
