Send an interim response only after the earlier answers

Cause: Found by reading; a test shows it. A client that pipelines a request with Expect: 100-continue behind one whose answer it has not read got the interim response at once: a second task waited for the same socket, and the connection ended with an internal error; with room in the socket, the bytes could come within the answer. Change: The interim response waits until the earlier answers of its connection are sent.

--- a/shallotbridge/core/http1.py
+++ b/shallotbridge/core/http1.py
@@ -538,6 +538,9 @@
         self._head_timeout_seconds = head_timeout_seconds
         # Header fields of the request that was read last.
         self._fields = ()
+        # ``await before_continue()`` is called before an interim response is
+        # sent. The caller may still be sending earlier answers.
+        self.before_continue = trio.lowlevel.checkpoint_if_cancelled
         # Counted for a larger buffer of the socket.
         self._socket_buffer_bytes = 0
 
@@ -628,6 +631,7 @@
             if (length or 0) > body_buffer.LARGE_BODY_BYTES:
                 self._check_room(length)
             if expectation and not self._buffer:
+                await self.before_continue()
                 await self._stream.send_all(_CONTINUE)
             self._receive_deadline = trio.current_time() + BODY_TIMEOUT_SECONDS
             if length is None:
--- a/shallotbridge/traffic/client_connections.py
+++ b/shallotbridge/traffic/client_connections.py
@@ -152,6 +152,7 @@
                 maximum_body_bytes=limits.maximum_body_bytes,
                 head_timeout_seconds=limits.head_timeout_seconds,
             )
+            reader.before_continue = previous_done.wait
             try:
                 request = await reader.read()
             except errors.FramingError as error:
--- a/tests/traffic/test_client_connections.py
+++ b/tests/traffic/test_client_connections.py
@@ -260,3 +260,30 @@
     assert statuses.count(b"200") > 1
     assert set(statuses) == {b"200", b"502"}
     assert account.held_bytes == 0
+
+
+async def test_an_interim_response_does_not_come_within_an_earlier_answer():
+    """Guards against bytes in the middle of an answer that is being sent."""
+    body = bytes(4_000_000)
+
+    async def handle_request(request):
+        return messages.Response(
+            status=200, headers=(), body=request.body or body
+        )
+
+    head = (
+        b"POST /2 HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\n"
+        b"content-length: 4\r\n\r\n"
+    )
+    async with _serving(handle_request) as (_, stream):
+        await stream.send_all(_request("/1"))
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        await stream.send_all(head)
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        received = await _read_until(stream, b"100 Continue\r\n\r\n")
+        await stream.send_all(b"done")
+        answer = await _read_until(stream, b"done")
+    first_head, _, rest = received.partition(b"\r\n\r\n")
+    assert b" 200 " in first_head
+    assert rest == body + b"HTTP/1.1 100 Continue\r\n\r\n"
+    assert answer.endswith(b"\r\n\r\ndone")
