Test an old estimate of a duration with one request

Requests are refused by the mean duration of their route, which only a completed request changes, and all were refused. Change: If no request of the route has completed for 1 s and none runs, one is let through. When it completes, its duration replaces the mean. At most one a second and upstream is sent in vain.

--- a/shallotbridge/traffic/admission.py
+++ b/shallotbridge/traffic/admission.py
@@ -27,6 +27,9 @@
 # this fraction of the time until its deadline. Without a wait only
 # MINIMUM_REMAINING_FRACTION applies, since the estimate may be too high.
 MAXIMUM_DEADLINE_FRACTION = 0.9
+# A mean duration refuses no request for want of time if none of its route has
+# completed for this long, and none runs that could tell the present one.
+MAXIMUM_ESTIMATE_AGE_SECONDS = 1.0
 # Mean duration assumed before any request has completed.
 INITIAL_MEAN_SECONDS = 0.1
 # Bounds of the ``retry_after`` of a refusal.
@@ -72,6 +75,8 @@
         Expected duration on a typical upstream, as offered.
     concurrency : int
         Number of running requests at its grant, itself included.
+    is_probe : bool
+        Whether it is let through to renew the mean duration of its route.
     """
 
     __slots__ = (
@@ -89,6 +94,7 @@
         "is_late",
         "usual_seconds",
         "concurrency",
+        "is_probe",
     )
 
     def __init__(
@@ -118,6 +124,7 @@
         self.is_late = False
         self.usual_seconds = expected_seconds
         self.concurrency = 0
+        self.is_probe = False
 
     def rank(self):
         """Return the sort key: by both priorities, then late requests last."""
@@ -163,6 +170,8 @@
         self._waiting = []
         self._running = set()
         self._mean_seconds_by_route = {}
+        # When a request of a route completed or was let through as a probe.
+        self._checked_at_by_route = {}
         self._mean_seconds = INITIAL_MEAN_SECONDS
         self._closed_error = None
         self._held_error = None
@@ -279,12 +288,27 @@
         self.dispatch(now)
 
     def _check_deadline(self, ticket, expected, now):
-        if now + expected * MINIMUM_REMAINING_FRACTION > ticket.deadline_at:
+        if now + expected * MINIMUM_REMAINING_FRACTION <= ticket.deadline_at:
+            return
+        if now < ticket.deadline_at and not ticket.is_probe:
+            ticket.is_probe = self._is_estimate_old(ticket.route, now)
+            if ticket.is_probe:
+                self._checked_at_by_route[ticket.route] = now
+        if not ticket.is_probe:
             raise errors.DeadlineBeforeSendError(
                 f"{max(0.0, ticket.deadline_at - now):.3f} s left before the "
                 f"deadline; expected duration {expected:.3f} s"
             )
 
+    def _is_estimate_old(self, route, now):
+        """Return whether nothing tells the present duration of a route."""
+        checked_at = self._checked_at_by_route.get(route)
+        return (
+            checked_at is not None
+            and now - checked_at >= MAXIMUM_ESTIMATE_AGE_SECONDS
+            and all(each.route != route for each in self._running)
+        )
+
     def _make_overloaded_error(self, wait, rate_wait):
         """Return the refusal of a request; waits are in seconds.
 
@@ -490,9 +514,11 @@
         mean = self._mean_seconds_by_route.get(
             ticket.route, ticket.expected_seconds
         )
-        self._mean_seconds_by_route[ticket.route] = mean + SMOOTHING_FACTOR * (
+        weight = 1.0 if ticket.is_probe else SMOOTHING_FACTOR
+        self._mean_seconds_by_route[ticket.route] = mean + weight * (
             seconds - mean
         )
+        self._checked_at_by_route[ticket.route] = now
         self._mean_seconds += SMOOTHING_FACTOR * (seconds - self._mean_seconds)
         self._release_slot(ticket, now)
 
--- a/tests/traffic/test_admission.py
+++ b/tests/traffic/test_admission.py
@@ -230,6 +230,46 @@
         controller.offer(request.ticket, 0.0)
 
 
+def test_a_route_is_served_again_after_its_upstream_was_slow():
+    """Guards against an estimate that refuses a route for good.
+
+    The pattern: the upstream is slow for a while, the deadlines are shortened
+    meanwhile, and it has its usual speed again.
+    """
+    controller = admission.AdmissionController(
+        slots=12, cold_start=cold_start.ColdStartLimiter()
+    )
+    requests = [
+        _Request(arrival=n * 0.1, objective=1.0, deadline=3.0, run=1.8)
+        for n in range(60)
+    ] + [
+        _Request(arrival=8 + n * 0.1, objective=0.4, deadline=0.8, run=0.15)
+        for n in range(200)
+    ]
+    _simulate(requests, controller)
+    late = [each for each in requests if each.arrival >= 8 + 5]
+    assert all(each.is_on_time for each in late)
+
+
+def test_a_route_that_stays_slow_gets_few_requests():
+    """Guards against work that cannot end before its deadline."""
+    controller = admission.AdmissionController(
+        slots=12, cold_start=cold_start.ColdStartLimiter()
+    )
+    requests = [
+        _Request(arrival=n * 0.1, objective=1.0, deadline=3.0, run=1.8)
+        for n in range(60)
+    ] + [
+        _Request(arrival=10 + n * 0.1, objective=0.4, deadline=0.8, run=1.8)
+        for n in range(200)
+    ]
+    _simulate(requests, controller)
+    late = [each for each in requests if each.arrival >= 10]
+    granted = [each for each in late if each.ticket.granted_at is not None]
+    # One at a time, and at most one a second.
+    assert 1 <= len(granted) <= 20
+
+
 def test_closing_refuses_waiting_and_new_requests():
     """Guards against requests that hang when the upstream is draining."""
     controller = admission.AdmissionController(
