--- a/shallotbridge/platform/program.py
+++ b/shallotbridge/platform/program.py
@@ -45,6 +45,7 @@
         Start of the process, on the clock of ``clock.BootTimeClock``.
     """
     path = os.environ.get(SETTINGS_VARIABLE, "")
+    modified_at = _modified_at(path)
     try:
         node_settings = dataclasses.replace(
             settings.load(path),
@@ -70,6 +71,7 @@
             _run,
             node_settings,
             path,
+            modified_at,
             metrics_port,
             started_at,
             log,
@@ -148,7 +150,9 @@
     return text == values[1]
 
 
-async def _run(node_settings, path, metrics_port, started_at, log):
+async def _run(
+    node_settings, path, modified_at, metrics_port, started_at, log
+):
     network = tcp.tcp_network()
     address, port = node_settings.platform_address
     store_client = store.StoreClient(
@@ -178,7 +182,9 @@
     ) as signals:
         async with trio.open_nursery() as nursery:
             await node.start(nursery)
-            nursery.start_soon(_watch_settings_file, path, node_settings)
+            nursery.start_soon(
+                _watch_settings_file, path, modified_at, node_settings
+            )
             nursery.start_soon(_start_log, log)
             async for signal_number in signals:
                 if signal_number != signal.SIGHUP:
@@ -192,12 +198,23 @@
     decisions.record("node_stopped", chosen=node_settings.own_host.name)
 
 
-async def _watch_settings_file(path, node_settings):
-    """Detect changes to the settings file that come without a signal."""
-    last_modified_at = _modified_at(path)
+async def _watch_settings_file(path, last_modified_at, node_settings):
+    """Detect changes to the settings file that come without a signal.
+
+    Parameters
+    ----------
+    path : str
+    last_modified_at : int or None
+        When the file was modified last before it was loaded, nanoseconds.
+    node_settings : node.NodeSettings
+    """
     while True:
         await trio.sleep(SETTINGS_CHECK_INTERVAL_SECONDS)
         modified_at = _modified_at(path)
+        if modified_at is None:
+            decisions.record(
+                "settings_unreadable", reason="the file has no status"
+            )
         if modified_at != last_modified_at:
             last_modified_at = modified_at
             _check_settings(path, node_settings, "the file changed")
@@ -206,8 +223,7 @@
 def _modified_at(path):
     try:
         return os.stat(path).st_mtime_ns
-    except OSError as error:
-        decisions.record("settings_unreadable", reason=str(error))
+    except OSError:
         return None
 
 
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -116,6 +116,25 @@
     assert responses[0].status == 200
 
 
+def test_a_signal_about_settings_does_not_end_a_starting_process():
+    """Guards against a process that a change of its settings ends.
+
+    The signal comes as soon as the module runs, before the node handles it.
+    """
+    code = (
+        "import runpy, signal, sys; "
+        "from shallotbridge.platform import deferred_imports as d; "
+        "d.defer_log_library = lambda: signal.raise_signal(signal.SIGHUP); "
+        "runpy.run_module('shallotbridge.platform', run_name='__main__')"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True
+    )
+    # There is no settings file.
+    assert done.returncode == 2, done.stderr
+    assert "settings file" in done.stderr
+
+
 def test_the_start_imports_nothing_that_only_the_log_needs():
     """Guards against imports that delay the start of each node."""
     code = (
