Let untrusted clients press harder in the soak

Cause: The soak's untrusted clients sent little, went on with nothing, and a node that ended by itself or took more memory than its settings allow was not noticed. Change: Nodes have 100 MB; bodies may have 4 MiB. Each starting process gets several SIGHUP. Ends by themselves and peaks of resident memory over 100 MB are violations.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -32,6 +32,7 @@
 def find_violations(records):
     """Return a description of each violation, most serious kind first."""
     return [
+        *records.process_violations,
         *_find_wrong_responses(records),
         *_find_wrong_runs(records),
         *_find_late_runs(records),
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -48,6 +48,16 @@
 QUOTA_WINDOW_SECONDS = 5.0
 QUOTA_OVERAGE = 0.25
 QUOTA_SLACK = 20.0
+# Memory of a node, so small that untrusted clients can fill it.
+MEMORY_MB = 100
+MAXIMUM_BODY_BYTES = 4 * 1024 * 1024
+# The settings of a starting process change as often as this, with these pauses
+# between two signals.
+START_SIGNALS = 4
+START_SIGNAL_SECONDS = (0.0, 0.2)
+MODULE_START_SECONDS = 1.0
+# Exit statuses of processes that were stopped or killed.
+_PLANNED_EXIT_STATUSES = (0, -signal.SIGKILL, -signal.SIGTERM)
 LIMITS_PER_SECOND = (0.0, 1.5, 5.0, 16.9, 40.0)
 _EXIT_POLL_SECONDS = 0.05
 
@@ -58,6 +68,9 @@
 zone = "{domain}"
 application_address = "{public}:{upstream_port}"
 service = "{service}"
+[self.limits]
+memory_mb = {memory_mb}
+file_descriptors = 1000
 [network]
 internal_port_range = [{peer_port}, {peer_port}]
 [network.listen_addresses]
@@ -180,6 +193,8 @@
         self._store_address = f"{prefix}.0.1"
         self._process_manager = process_manager
         self.random = self._random = random.Random(seed)
+        # Has its own sequence, so that the plans of earlier seeds stay.
+        self._signal_random = random.Random(f"signals {seed}")
         self._nursery = None
 
     async def start(self, nursery):
@@ -218,6 +233,7 @@
                 domain=host.domain,
                 store=host.store_address,
                 service=host.service,
+                memory_mb=MEMORY_MB,
                 upstream_port=UPSTREAM_PORT,
                 peer_port=PEER_PORT,
                 caller_port=CALLER_PORT,
@@ -237,16 +253,62 @@
                 # The older build is imported, not the one of this directory.
                 environment["PYTHONPATH"] = self._older
                 command = (sys.executable, "-P", "-m")
-            self._process_manager.start(
+            process = self._process_manager.start(
                 host.name,
                 ["shallotbridge.platform"],
                 command=command,
                 environment=environment,
             )
-            while self._process_manager.is_running(host.name):
+            if not host.is_older:
+                self._nursery.start_soon(self._signal_starting, process)
+            peak_bytes = 0
+            while process.poll() is None:
+                peak_bytes = processes.read_memory_bytes(process.pid, "VmHWM")
                 await trio.sleep(_EXIT_POLL_SECONDS)
+            if not host.is_older:
+                self._check_ended(host, process.returncode, peak_bytes)
             await trio.sleep(RESTART_DELAY_SECONDS)
 
+    async def _signal_starting(self, process):
+        """Tell a process several times that its settings changed.
+
+        The interpreter needs some time until it runs a module; a signal
+        before that ends any process.
+        """
+        with trio.move_on_after(MODULE_START_SECONDS):
+            while process.poll() is None and not processes.ignores_signal(
+                process.pid, signal.SIGHUP
+            ):
+                await trio.sleep(_EXIT_POLL_SECONDS / 10)
+        for _ in range(START_SIGNALS):
+            await trio.sleep(
+                self._signal_random.uniform(*START_SIGNAL_SECONDS)
+            )
+            if process.poll() is None:
+                process.send_signal(signal.SIGHUP)
+
+    def _check_ended(self, host, status, peak_bytes):
+        violations = self.records.process_violations
+        if status not in _PLANNED_EXIT_STATUSES:
+            violations.append(f"{host.name}: ended by itself, status {status}")
+        self._check_memory(host, peak_bytes)
+
+    def _check_memory(self, host, peak_bytes):
+        if peak_bytes > MEMORY_MB * 1_000_000:
+            self.records.process_violations.append(
+                f"{host.name}: took {peak_bytes} bytes; allowed: "
+                f"{MEMORY_MB} MB"
+            )
+
+    def check_memory(self):
+        """Check the memory of the processes that run."""
+        for host in self.hosts:
+            process = self._process_manager.get_process(host.name)
+            if process.poll() is None and not host.is_older:
+                self._check_memory(
+                    host, processes.read_memory_bytes(process.pid, "VmHWM")
+                )
+
     def find_readers(self):
         """Return the host of each domain that began a watch last."""
         hosts_by_domain = {}
@@ -299,7 +361,7 @@
                 "version": self.version,
                 "limits": {
                     "max_header_bytes": 16384,
-                    "max_body_bytes": 65536,
+                    "max_body_bytes": MAXIMUM_BODY_BYTES,
                     "header_timeout": "3000ms",
                     "idle_timeout": "15s",
                 },
--- a/soak/records.py
+++ b/soak/records.py
@@ -80,6 +80,9 @@
         self.harmful_calls_by_id = {}
         self.harmful_identities_by_id = {}
         self.crashed_at_by_identity = collections.defaultdict(list)
+        # Texts on node processes that ended by themselves, or that took more
+        # memory than their settings allow.
+        self.process_violations = []
         # Texts on requests that came to upstreams with a key, or without the
         # name of their customer.
         self.header_violations = []
--- a/soak/run.py
+++ b/soak/run.py
@@ -101,6 +101,7 @@
             await trio.sleep(max(0.0, started + entry.at - clock()))
             nursery.start_soon(_run_entry, fleet, entry)
         await trio.sleep(max(0.0, started + seconds - clock()))
+        fleet.check_memory()
         nursery.cancel_scope.cancel()
     return run_records
 
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -59,6 +59,7 @@
                 domain="a",
                 service="shop",
                 store=mesh.address(200),
+                memory_mb=fleet.MEMORY_MB,
                 upstream_port=loopback.UPSTREAM_PORT,
                 peer_port=loopback.PEER_PORT,
                 caller_port=loopback.CLIENT_PORT,
