Keep no refused requests while an upstream is closed

While the admission of an upstream is closed or held, one error is raised for all refused requests. Its traceback grew with each of them and kept their frames, and so their bodies, until the admission opened again. No account knows of them, so that a crowd of small bodies for an upstream that is down could end its node. Change: The error is raised without its earlier traceback.

--- a/shallotbridge/traffic/admission.py
+++ b/shallotbridge/traffic/admission.py
@@ -253,13 +253,15 @@
             The request is refused; ``retry_after``, if set, is the time in
             seconds after which the caller may try again.
         """
+        # The traceback of a reused error would keep the frames of all refused
+        # requests, and with them their bodies.
         if self._closed_error is not None:
-            raise self._closed_error
+            raise self._closed_error.with_traceback(None)
         if self._held_error is not None and (
             ticket.maximum_wait_seconds < startup.OPEN_WAIT_SECONDS
             or len(self._waiting) >= startup.MAXIMUM_HELD_AT_OWNER
         ):
-            raise self._held_error
+            raise self._held_error.with_traceback(None)
         ticket.offered_at = now
         expected = self._mean_seconds_by_route.get(
             ticket.route, ticket.expected_seconds
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -642,7 +642,8 @@
             self._admission.cancel_request(ticket, trio.current_time())
             raise
         if decision.error is not None:
-            raise decision.error
+            # It may be shared by many requests; see ``admission.offer``.
+            raise decision.error.with_traceback(None)
 
     def _make_fingerprints(self, work):
         headers = dict(work.headers)
--- a/tests/traffic/test_admission.py
+++ b/tests/traffic/test_admission.py
@@ -3,6 +3,7 @@
 import heapq
 import itertools
 import random
+import tracemalloc
 
 import pytest
 
@@ -230,6 +231,38 @@
         controller.offer(request.ticket, 0.0)
 
 
+@pytest.mark.parametrize("refuse", ["close", "hold"])
+def test_refused_requests_are_not_kept(refuse):
+    """Guards against memory for each request that is refused while closed."""
+    controller = admission.AdmissionController(
+        slots=6, cold_start=cold_start.ColdStartLimiter()
+    )
+    getattr(controller, refuse)(errors.LeavingError("the test closes it"))
+
+    def offer(body):
+        ticket = admission.Ticket(
+            route="r",
+            priority=1,
+            objective_at=1.0,
+            deadline_at=1.0,
+            expected_seconds=0.1,
+            maximum_wait_seconds=0.0,
+            on_granted=lambda: None,
+            on_refused=lambda error: None,
+        )
+        with pytest.raises(errors.LeavingError):
+            controller.offer(ticket, 0.0)
+        return len(body)
+
+    tracemalloc.start()
+    try:
+        for _ in range(100):
+            offer(bytes(60_000))
+        assert tracemalloc.get_traced_memory()[0] < 300_000
+    finally:
+        tracemalloc.stop()
+
+
 def test_a_route_is_served_again_after_its_upstream_was_slow():
     """Guards against an estimate that refuses a route for good.
 
