Log again why the settings file has no status

Cause: The change that takes the time of the settings file before it is read replaced the reason in the line settings_unreadable by a fixed text. Change: The reason is that of the system again. The first look at the file, before there is a log, records nothing; a file that cannot be read fails the start. Measured: tests/platform/test_program.py passes; the line has no test of its own.

--- a/shallotbridge/platform/program.py
+++ b/shallotbridge/platform/program.py
@@ -210,23 +210,24 @@
     """
     while True:
         await trio.sleep(SETTINGS_CHECK_INTERVAL_SECONDS)
-        modified_at = _modified_at(path)
-        if modified_at is None:
-            decisions.record(
-                "settings_unreadable", reason="the file has no status"
-            )
+        modified_at = _modified_at(path, _record_unreadable)
         if modified_at != last_modified_at:
             last_modified_at = modified_at
             _check_settings(path, node_settings, "the file changed")
 
 
-def _modified_at(path):
+def _modified_at(path, on_error=lambda error: None):
     try:
         return os.stat(path).st_mtime_ns
-    except OSError:
+    except OSError as error:
+        on_error(error)
         return None
 
 
+def _record_unreadable(error):
+    decisions.record("settings_unreadable", reason=str(error))
+
+
 def _check_settings(path, node_settings, reason):
     """Log whether the settings changed; changes take effect on restart."""
     try:
