Pass on a turn that a cancelled connection was given

Cause: A connection that was cancelled, and got the turn in the same pass of the scheduler, kept it for good: its task looked for its entry in the queue, which was gone. From then on no head and no piece of a chunked body of more than 4 KiB would have been decoded. Change: A cancelled connection that was given the turn passes it on. Measured: tests/core/test_turns.py -k cancelled_connection_is_passed: failed in 3 of 3 runs before, passes in 3 of 3 after.

--- a/shallotbridge/core/turns.py
+++ b/shallotbridge/core/turns.py
@@ -63,8 +63,12 @@
         try:
             await granted.wait()
         except trio.Cancelled:
-            self._waiting.remove(entry)
-            heapq.heapify(self._waiting)
+            if granted.is_set():
+                # The turn came after the cancellation, in the same pass.
+                self._pass_on()
+            else:
+                self._waiting.remove(entry)
+                heapq.heapify(self._waiting)
             raise
 
     async def release(self):
@@ -72,7 +76,10 @@
         try:
             await trio.lowlevel.checkpoint()
         finally:
-            if self._waiting:
-                heapq.heappop(self._waiting)[2].set()
-            else:
-                self._is_taken = False
+            self._pass_on()
+
+    def _pass_on(self):
+        if self._waiting:
+            heapq.heappop(self._waiting)[2].set()
+        else:
+            self._is_taken = False
--- a/tests/core/test_turns.py
+++ b/tests/core/test_turns.py
@@ -47,6 +47,35 @@
     assert log == [1]
 
 
+async def test_a_turn_granted_to_a_cancelled_connection_is_passed_on():
+    """Guards against a node that decodes nothing any more.
+
+    A connection is cancelled, and gets the turn before its task has run. Trio
+    runs the tasks of one pass in random order, so that this takes some tries.
+    """
+    queue = turns.TurnQueue()
+
+    async def wait(scope):
+        with scope:
+            await queue.take(0)
+            await queue.release()
+
+    async def cancel(scope):
+        await trio.lowlevel.checkpoint()
+        scope.cancel()
+
+    for _ in range(50):
+        scope = trio.CancelScope()
+        async with trio.open_nursery() as nursery:
+            with trio.fail_after(1):
+                await queue.take(0)
+            nursery.start_soon(wait, scope)
+            await trio.testing.wait_all_tasks_blocked()
+            nursery.start_soon(cancel, scope)
+            await trio.lowlevel.checkpoint()
+            await queue.release()
+
+
 async def test_all_tasks_run_between_two_turns():
     """Guards against a node that does nothing but decode."""
     queue = turns.TurnQueue()
