Do not count the wait for a turn as a client's lack of progress

Where memory is short, connections for whose clients the node waits are closed after 1 s without progress. A connection that waited for its turn, or with its interim response for earlier answers, counted as one of them, though its client waits for the node.

--- a/shallotbridge/core/http1.py
+++ b/shallotbridge/core/http1.py
@@ -6,6 +6,7 @@
 bytes as a request (request smuggling).
 """
 
+import contextlib
 import math
 import re
 
@@ -198,23 +199,35 @@
         account.paused_count += 1
         account.paused += 1
         account.add_unread(self._pause_bytes)
-        was_waiting = self._holder.is_waiting_for_client
-        self._holder.is_waiting_for_client = False
         try:
-            while not try_hold(size):
-                now = trio.current_time()
-                account.relieve(now)
-                if now - began >= MAXIMUM_PAUSE_SECONDS:
-                    account.refused_count += 1
-                    raise self._no_memory(size)
-                if now - began >= CLOSE_STALLED_SECONDS:
-                    account.close_stalled(now, size)
-                await trio.sleep(_PAUSE_CHECK_SECONDS)
+            with self._client_waits():
+                while not try_hold(size):
+                    now = trio.current_time()
+                    account.relieve(now)
+                    if now - began >= MAXIMUM_PAUSE_SECONDS:
+                        account.refused_count += 1
+                        raise self._no_memory(size)
+                    if now - began >= CLOSE_STALLED_SECONDS:
+                        account.close_stalled(now, size)
+                    await trio.sleep(_PAUSE_CHECK_SECONDS)
         finally:
             account.paused -= 1
             account.add_unread(-self._pause_bytes)
-            self._holder.is_waiting_for_client = was_waiting
-            self._holder.progressed_at = trio.current_time()
+
+    @contextlib.contextmanager
+    def _client_waits(self):
+        """Do not count the time as one in which the client makes no progress.
+
+        The client waits for the node meanwhile.
+        """
+        holder = self._holder
+        was_waiting = holder.is_waiting_for_client
+        holder.is_waiting_for_client = False
+        try:
+            yield
+        finally:
+            holder.is_waiting_for_client = was_waiting
+            holder.progressed_at = trio.current_time()
 
     def _release(self):
         if self._held_bytes:
@@ -425,7 +438,8 @@
         """Call a function that takes processor time, in turn if it is much."""
         if size <= turns_module.SMALL_WORK_BYTES:
             return function(*arguments)
-        await self._turns.take(self._served_bytes)
+        with self._client_waits():
+            await self._turns.take(self._served_bytes)
         try:
             return function(*arguments)
         finally:
@@ -631,7 +645,8 @@
             if (length or 0) > body_buffer.LARGE_BODY_BYTES:
                 self._check_room(length)
             if expectation and not self._buffer:
-                await self.before_continue()
+                with self._client_waits():
+                    await self.before_continue()
                 await self._stream.send_all(_CONTINUE)
             self._receive_deadline = trio.current_time() + BODY_TIMEOUT_SECONDS
             if length is None:
--- a/tests/core/test_http1.py
+++ b/tests/core/test_http1.py
@@ -11,7 +11,9 @@
 from shallotbridge.core import errors
 from shallotbridge.core import http1
 from shallotbridge.core import http1_encoding
+from shallotbridge.core import memory_account
 from shallotbridge.core import model
+from shallotbridge.core import turns
 from tests.core import streams
 
 HOST = b"Host: a\r\n"
@@ -378,3 +380,27 @@
     assert error is None
     # The first and the last piece may be small.
     assert passes >= len(pieces) - 2
+
+
+async def test_a_client_that_waits_for_its_turn_is_not_stalled():
+    """Guards against closing clients whose bytes the node does not decode."""
+    queue = turns.TurnQueue()
+    holder = memory_account.unlimited_holder()
+    holder.is_waiting_for_client = True
+    reader = http1.RequestReader(
+        stream=streams.ScriptedStream(
+            [_chunked_request(b"1\r\nx\r\n" * 1000)]
+        ),
+        holder=holder,
+        turns=queue,
+    )
+    assert await reader.wait_request()
+    await queue.take(0)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(reader.read)
+        await trio.testing.wait_all_tasks_blocked()
+        assert not holder.is_waiting_for_client
+        began = trio.current_time()
+        await queue.release()
+    assert holder.is_waiting_for_client
+    assert holder.progressed_at >= began
