Release the frames of errors that were handled

A request that is refused by one owner node and answered by the next keeps the refusal in a local name; its traceback refers to the frame, and the frame to the request and the answer. Such cycles stay until the garbage collector runs, and the account does not know of them. Traced on a scratch copy: with held bytes constant, the heap grew by 57 KB an answer; 226 of 434 live bodies were in frames of _route_call, and a collection freed 12.6 MB. Ruled out: received bytes that were not read (0), free memory of the heap (1.8 MB). Change: Where an entry or owner node has handled an error, it drops the tracebacks of the error and of its causes.

--- a/shallotbridge/core/errors.py
+++ b/shallotbridge/core/errors.py
@@ -443,6 +443,18 @@
     code = "SB-4002"
 
 
+def release_frames(error):
+    """Drop the tracebacks of an error that was handled and of its causes.
+
+    They refer to frames, and these to the request and its answer. A frame
+    that also refers to the error would keep them in memory until the garbage
+    collection, and no account counts them.
+    """
+    while error is not None:
+        error.__traceback__ = None
+        error = error.__cause__ or error.__context__
+
+
 def _all_subclasses(base):
     for subclass in base.__subclasses__():
         yield subclass
--- a/shallotbridge/traffic/entry.py
+++ b/shallotbridge/traffic/entry.py
@@ -255,6 +255,7 @@
                 )
             response = await self._route_within_quota(call)
         except errors.CallError as error:
+            errors.release_frames(error)
             response = self._failure_response(error, call, request)
         except trio.Cancelled:
             if call is not None:
@@ -557,6 +558,7 @@
             try:
                 reply = await self._offer(call)
             except errors.CallError as error:
+                errors.release_frames(error)
                 if error.outcome is errors.Outcome.UNKNOWN:
                     unknown_error = error
                 else:
@@ -721,10 +723,11 @@
                 if reply.status >= _SERVER_ERROR_STATUS:
                     reply = await hedgeable.wait_for_hedge() or reply
                 return reply
-        except errors.CallError:
+        except errors.CallError as error:
             reply = await hedgeable.wait_for_hedge()
             if reply is None:
                 raise
+            errors.release_frames(error)
             return reply
         finally:
             self._hedger.untrack(hedgeable)
--- a/shallotbridge/traffic/hedging.py
+++ b/shallotbridge/traffic/hedging.py
@@ -168,6 +168,7 @@
                 if reply.status >= _SERVER_ERROR_STATUS:
                     reply = None
         except errors.CallError as error:
+            errors.release_frames(error)
             reason = error.code
         except Exception:
             # An unexpected exception must not end the other requests.
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -505,6 +505,7 @@
             else:
                 response = await self._send_counted(work, ticket, fingerprints)
         except errors.CallError as error:
+            errors.release_frames(error)
             return self._reply_error(work, error, now, started)
         run_seconds = trio.current_time() - started
         self.run_count += 1
--- a/tests/traffic/test_entry.py
+++ b/tests/traffic/test_entry.py
@@ -1,7 +1,11 @@
 """Tests of the entry node with simulated owner nodes."""
 
+import dataclasses
+import gc
 import random
+import weakref
 
+import msgspec
 import pytest
 import trio
 
@@ -632,3 +636,39 @@
     assert response.status == 503
     assert len(owners.offers) == offers
     assert 0.03 <= float(response.header("retry-after")) < 0.15
+
+
+@pytest.mark.parametrize("is_served", [False, True])
+async def test_nothing_of_a_refused_request_waits_for_garbage_collection(
+    is_served, autojump_clock
+):
+    """Guards against bodies that stay in memory, where nothing counts them.
+
+    Frames of a request that was refused at first refer to its errors, and
+    the tracebacks of these refer to the frames.
+    """
+    bodies = []
+
+    def keep_body():
+        body = memoryview(bytes(100_000))
+        bodies.append(weakref.ref(body))
+        return body
+
+    async def handle_offer(address, work):
+        if is_served and len(owners.offers) == 2:
+            return msgspec.structs.replace(_answer(), body=keep_body())
+        return _refusal(errors.OverloadedError.code)
+
+    server, owners, _ = _server(handle_offer, route=NON_IDEMPOTENT_ROUTE)
+    gc.collect()
+    gc.disable()
+    try:
+        response = await server.handle_request(
+            dataclasses.replace(_request(), method="POST", body=keep_body())
+        )
+        assert (response.status == 200) == is_served
+        response = None
+        assert [each() for each in bodies] == [None] * len(bodies)
+    finally:
+        gc.enable()
+    assert len(bodies) == 1 + is_served
--- a/tests/traffic/test_owner.py
+++ b/tests/traffic/test_owner.py
@@ -1,6 +1,8 @@
 """Tests of the owner node with a simulated upstream on loopback."""
 
 import contextlib
+import gc
+import weakref
 
 import pytest
 import trio
@@ -743,3 +745,43 @@
         server.on_view_changed(_view(_entry(started_ms=5)))
         assert server.load().slowdown == 0.0
         assert server.load().slots == server.learned_slots == 1
+
+
+@pytest.mark.parametrize("place", ["admission", "queue", "upstream"])
+async def test_nothing_of_a_refused_request_waits_for_garbage_collection(
+    place,
+):
+    """Guards against bodies that stay in memory, where nothing counts them.
+
+    Frames of a refused request refer to its error, and the traceback of the
+    error refers to the frames.
+    """
+    async with _owner(slots=1) as (server, upstream):
+        body = memoryview(bytes(100_000))
+        kept = weakref.ref(body)
+        gc.collect()
+        gc.disable()
+        try:
+            async with trio.open_nursery() as nursery:
+                if place == "upstream":
+                    upstream.refuses = True
+                else:
+                    upstream.can_respond = trio.Event()
+                    nursery.start_soon(server.run, work("first"))
+                    await trio.testing.wait_all_tasks_blocked(0.05)
+                if place == "admission":
+                    server.begin_leaving()
+                elif place == "queue":
+                    nursery.start_soon(_leave_soon, server)
+                reply = await server.run(work("second", body=body))
+                assert type(reply) is link.Refusal
+                upstream.can_respond.set()
+            body = None
+            assert kept() is None
+        finally:
+            gc.enable()
+
+
+async def _leave_soon(server):
+    await trio.sleep(0.05)
+    server.begin_leaving()
