Find room for small requests beside large ones of a peer

Cause: Ordinary callers of an entry node got refusals from an owner node while a crowd sent large bodies through the same entry node. All requests of an entry node come on one connection; large bodies fill its share of the memory, and a request of 6 KiB more exceeds it. At the entry node each client has a connection of its own, so that only the owner node was affected. Change: An owner node also takes a request that would find room on a connection of its own. Measured: pytest tests/peers/test_links.py -k small_requests_find fails before and passes now. Not shown with processes.

--- a/shallotbridge/peers/server.py
+++ b/shallotbridge/peers/server.py
@@ -129,10 +129,13 @@
             size = _REQUEST_BYTES + _HEADER_BYTES * len(message.headers)
             if len(message.body) <= body_buffer.LARGE_BODY_BYTES:
                 size += len(message.body)
-            if not holder.try_hold(size):
+            # All requests of a node come on one connection, and large bodies
+            # may have taken its share. A small one needs no share.
+            if not (holder.can_hold(size) or self._account.has_room(0, size)):
                 self._account.refused_count += 1
                 self._refuse(message.call_id, size, writer)
                 return
+            holder.hold(size)
             scope = trio.CancelScope()
             scopes_by_call_id[message.call_id] = scope
             delay = transit_delays.measure(message.sent_at)
