Count what the kernel really receives of a connection

The account took the size that is set for a receive buffer for what may be unread. The kernel doubles that size, and fills nearly all of it with bytes: one socket of the waves test held 258,060 bytes where 131,072 were counted. Change: The account counts 32 KiB for a connection in place of 16, and 256 KiB in place of 128 for one that receives a large message. The sizes that are set stay the same. What the kernel sends has a constant of its own.

--- a/shallotbridge/core/http1.py
+++ b/shallotbridge/core/http1.py
@@ -716,7 +716,7 @@
     def _enlarge_socket_buffer(self):
         # Streams in memory have no buffer in the kernel.
         expect = getattr(self._stream, "expect_large_message", None)
-        size = memory_account.SOCKET_BUFFER_BYTES
+        size = memory_account.LARGE_UNREAD_BYTES
         if expect is not None and self._holder.try_hold(size):
             self._socket_buffer_bytes = size
             self._holder.account.unread_bytes += size
@@ -797,7 +797,7 @@
         Whether the connection may be used for another request.
     """
 
-    _pause_bytes = memory_account.SOCKET_BUFFER_BYTES
+    _pause_bytes = memory_account.LARGE_UNREAD_BYTES
 
     def __init__(
         self,
--- a/shallotbridge/core/memory_account.py
+++ b/shallotbridge/core/memory_account.py
@@ -41,8 +41,9 @@
 # allocator keeps is resident, but is used again.
 MINIMUM_LIMIT_RATIO = 1 / 4
 # What the kernel may receive of a connection before it is read, unless its
-# receive buffer was enlarged.
-UNREAD_BYTES = 16 * 1024
+# receive buffer was enlarged: twice the size that is set, since it doubles
+# that, and newer kernels use nearly all of it for bytes of the client.
+UNREAD_BYTES = 32 * 1024
 # Change of what is held after which resident memory is measured again.
 MEASURE_INTERVAL_BYTES = 512 * 1024
 # Minimum interval between two returns of free memory to the system.
@@ -52,9 +53,10 @@
 # Part of the others for client connections; the rest is for the connections
 # to other nodes, the upstream and the store.
 CLIENT_DESCRIPTOR_RATIO = 0.75
-# What the kernel holds of a connection that receives a large message, or whose
-# client doesn't read: the size of its larger socket buffers.
-SOCKET_BUFFER_BYTES = 128 * 1024
+# The same of a connection that receives a large message.
+LARGE_UNREAD_BYTES = 256 * 1024
+# What the kernel holds of a connection whose client doesn't read.
+UNSENT_BYTES = 128 * 1024
 # Fewer bytes than this are no progress of a connection that holds memory.
 PROGRESS_BYTES = 16 * 1024
 # A connection without progress for this time is closed if memory is short.
--- a/shallotbridge/traffic/client_connections.py
+++ b/shallotbridge/traffic/client_connections.py
@@ -395,8 +395,8 @@
     def unsent(self):
         """Count the socket's buffer while the client does not read it."""
         account = self.holder.account
-        account.add(memory_account.SOCKET_BUFFER_BYTES)
+        account.add(memory_account.UNSENT_BYTES)
         try:
             yield
         finally:
-            account.add(-memory_account.SOCKET_BUFFER_BYTES)
+            account.add(-memory_account.UNSENT_BYTES)
--- a/tests/transports/test_tcp.py
+++ b/tests/transports/test_tcp.py
@@ -1,10 +1,14 @@
 """Tests of byte streams over TCP."""
 
+import array
+import fcntl
 import socket
+import termios
 
 import pytest
 import trio
 
+from shallotbridge.core import memory_account
 from shallotbridge.transports import tcp
 
 
@@ -165,3 +169,32 @@
     for size in accepted:
         assert 2 * size <= tcp.INITIAL_RECEIVE_BUFFER_BYTES
     nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("is_large", [False, True])
+async def test_unread_bytes_are_no_more_than_is_counted(is_large, nursery):
+    """Guards against memory of the kernel that the account does not know.
+
+    The kernel receives more than the size that is set for the buffer.
+    """
+    unread = array.array("i", [0])
+    measured = trio.Event()
+
+    async def handle(stream):
+        if is_large:
+            stream.expect_large_message()
+        with trio.move_on_after(1.0):
+            await measured.wait()
+        fcntl.ioctl(stream.descriptor, termios.FIONREAD, unread)
+        measured.set()
+
+    _, port = await nursery.start(tcp.serve, "127.0.0.1", 0, handle)
+    async with await tcp.open_stream("127.0.0.1", port) as stream:
+        while not measured.is_set():
+            stream.send_nowait(bytes(65536))
+            await trio.sleep(0.001)
+    counted = memory_account.UNREAD_BYTES
+    if is_large:
+        counted = memory_account.LARGE_UNREAD_BYTES
+    assert 0 < unread[0] <= counted
+    nursery.cancel_scope.cancel()
