Ask for memory before a head is parsed and keep no fields

Cause: A node ended for lack of memory under requests whose heads are inside the limits. The fields of a head of 15 KB take 200 to 400 KB. They were parsed before room was asked for, so that up to 64 connections that wait for room held theirs uncounted; a refusal kept them until its client had read it; and a connection kept the fields of its last request for as long as it was open and idle. Traced: while connections waited, resident memory grew from 51 to 66 MB with constant held bytes. Change: Room is asked for by the lines of the head, before it is parsed. The reader drops the fields with the end of each request. A refusal is encoded, and what it refers to dropped, before earlier answers are waited for.

--- a/shallotbridge/core/http1.py
+++ b/shallotbridge/core/http1.py
@@ -550,7 +550,7 @@
             turns=turns,
         )
         self._head_timeout_seconds = head_timeout_seconds
-        # Header fields of the request that was read last.
+        # Header fields of the request that is being read.
         self._fields = ()
         # ``await before_continue()`` is called before an interim response is
         # sent. The caller may still be sending earlier answers.
@@ -613,20 +613,28 @@
             raise
         finally:
             self._receive_deadline = math.inf
+            # The connection may be kept for long without another request.
+            self._fields = ()
 
     async def _read(self):
         head = await self._read_head()
         parsed = _ParsedMessage()
+        self._fields = parsed.fields
         parser = httptools.HttpRequestParser(parsed)
+        try:
+            # Before the head is parsed: its fields take more memory than it.
+            await self._hold_message(
+                _REQUEST_BYTES
+                + _HEAD_COPIES * len(head)
+                + _FIELD_BYTES * head.count(b"\r\n")
+            )
+        except errors.RequestMemoryError as error:
+            await self._in_turn(len(head), self._feed, parser, head)
+            error.headers = tuple(parsed.fields)
+            raise
         await self._in_turn(len(head), self._feed, parser, head)
         if not parsed.is_head_done:
             raise self._malformed("the head is not a request head")
-        self._fields = parsed.fields
-        await self._hold_message(
-            _REQUEST_BYTES
-            + _HEAD_COPIES * len(head)
-            + _FIELD_BYTES * len(parsed.fields)
-        )
         version = self._check_version(parser)
         method = parser.get_method().decode("ascii")
         if not _TARGET.fullmatch(parsed.target) or method == "CONNECT":
--- a/shallotbridge/traffic/client_connections.py
+++ b/shallotbridge/traffic/client_connections.py
@@ -190,10 +190,17 @@
                 await previous_done.wait()
 
     async def _answer_framing_error(self, error, connection, previous_done):
-        # The traceback refers to what was read.
-        error.__traceback__ = None
+        data = http1_encoding.encode_response(
+            self._handle_framing_error(error), is_persistent=False
+        )
+        # The error refers to what was read, and the client may take its time.
+        errors.release_frames(error)
+        if isinstance(error, errors.RequestMemoryError):
+            error.headers = ()
         await previous_done.wait()
-        await self._send_error_response(error, connection.stream)
+        with trio.move_on_after(SEND_TIMEOUT_SECONDS):
+            await connection.stream.send_all(data)
+            await http1.discard_input(connection.stream)
 
     async def _wait_for_request(self, connection):
         with trio.CancelScope() as scope:
@@ -328,14 +335,6 @@
             connection.blocked_sends -= 1
             connection.update()
 
-    async def _send_error_response(self, error, stream):
-        data = http1_encoding.encode_response(
-            self._handle_framing_error(error), is_persistent=False
-        )
-        with trio.move_on_after(SEND_TIMEOUT_SECONDS):
-            await stream.send_all(data)
-            await http1.discard_input(stream)
-
     def begin_drain(self):
         """Close each connection after its next response, or soon if idle."""
         self._is_draining = True
--- a/tests/platform/crowd.py
+++ b/tests/platform/crowd.py
@@ -86,13 +86,16 @@
         }
         self.address = self._address_by_service["near"]
         self._processes_by_service = {}
+        self._process_manager = None
+        self._state = None
         self._nursery = None
         self.peak_bytes_by_service = dict.fromkeys(_SERVICES, 0)
         self.peak_descriptors_by_service = dict.fromkeys(_SERVICES, 0)
 
     async def start(self, nursery, process_manager):
         self._nursery = nursery
-        state = store_standin.StoreState()
+        self._process_manager = process_manager
+        state = self._state = store_standin.StoreState()
         await nursery.start(
             tcp.serve,
             self._store_address,
@@ -118,18 +121,35 @@
                     store=self._store_address,
                 )
             )
-            self._processes_by_service[service] = process_manager.start(
-                service,
-                ["shallotbridge.platform"],
-                environment={"SHALLOTBRIDGE_SETTINGS": str(settings)},
-            )
+            self._start_node(service)
         for service in _SERVICES:
             await self.send_ordinary(f"/{service}/")
         nursery.start_soon(self._watch)
 
-    def _configuration(self):
+    def _start_node(self, service):
+        settings = self._process_manager.directory / f"{service}.toml"
+        self._processes_by_service[service] = self._process_manager.start(
+            service,
+            ["shallotbridge.platform"],
+            environment={"SHALLOTBRIDGE_SETTINGS": str(settings)},
+        )
+
+    async def restart(self, service):
+        """Kill a node and start it again."""
+        process = self._processes_by_service[service]
+        process.kill()
+        while process.poll() is None:
+            await trio.sleep(0.05)
+        self._start_node(service)
+
+    def change_limits(self, version, body_bytes):
+        """Publish a configuration with another limit of bodies."""
+        self._body_bytes = body_bytes
+        self._state.put("op/config", self._configuration(version))
+
+    def _configuration(self, version=1):
         return {
-            "version": 1,
+            "version": version,
             "limits": {
                 "max_header_bytes": 16384,
                 "max_body_bytes": self._body_bytes,
--- a/tests/platform/test_untrusted_clients.py
+++ b/tests/platform/test_untrusted_clients.py
@@ -92,6 +92,23 @@
     return _MIXED[number % len(_MIXED)](path, number)
 
 
+# As many as the limit of a head allows.
+_MANY_FIELDS = ["xy: ab"] * 1900
+
+
+def _many_fields(path, number):
+    yield crowd.head(path, *_MANY_FIELDS, "content-length: 65536")
+    yield bytes(60_000)
+
+
+def _whole_with_many_fields(path, number):
+    yield crowd.head(path, *_MANY_FIELDS, "content-length: 0")
+
+
+def _whole_small(path, number):
+    return crowd.sized(path, 60_000, is_whole=True)
+
+
 def _bytewise(path, number):
     for byte in crowd.head(path, "x-long: " + "x" * 8000)[:-2]:
         yield bytes([byte])
@@ -195,18 +212,27 @@
         mesh.check()
 
 
+# Crowds of more connections than the others.
+MANY_CROWDS = {
+    "small bodies": (MANY_CLIENTS, _short_of_small),
+    # Fewer than the node allows, so that none is closed for another.
+    "requests with many fields, then silence": (330, _whole_with_many_fields),
+    "bodies after many fields": (MIXED_CLIENTS, _many_fields),
+}
+
+
 @pytest.mark.parametrize("path", ["/near/", "/far/"])
-async def test_many_small_bodies_leave_the_node_alive(path):
-    """Guards against memory that is not counted with each small body."""
+@pytest.mark.parametrize("case", MANY_CROWDS)
+async def test_many_connections_leave_the_node_alive(case, path):
+    """Guards against memory that is not counted with each connection."""
+    count, pieces_of = MANY_CROWDS[case]
     async with crowd.start_mesh(
         memory_mb=MEMORY_MB,
         descriptors=MANY_DESCRIPTORS,
         body_bytes=BODY_BYTES,
         seconds=UPSTREAM_SECONDS,
     ) as mesh:
-        await mesh.crowd(
-            MANY_CLIENTS, functools.partial(_short_of_small, path)
-        )
+        await mesh.crowd(count, functools.partial(pieces_of, path))
         assert await mesh.send_ordinary(path, b"12345") == b"5"
         mesh.check()
 
@@ -226,6 +252,65 @@
         mesh.check()
 
 
+# Each kind leaves its memory in another part of the heap, or none.
+_KINDS_IN_TURN = (_many_fields, _small_pipeline, _short_of_small, _sized)
+
+
+@pytest.mark.parametrize("path", ["/near/", "/far/"])
+async def test_kinds_of_clients_in_turn_leave_the_node_alive(path):
+    """Guards against free memory that only the same kind uses again."""
+    async with crowd.start_mesh(
+        memory_mb=MEMORY_MB,
+        descriptors=MANY_DESCRIPTORS,
+        body_bytes=BODY_BYTES,
+        seconds=UPSTREAM_SECONDS,
+    ) as mesh:
+        for pieces_of in _KINDS_IN_TURN:
+            await mesh.crowd(MIXED_CLIENTS, functools.partial(pieces_of, path))
+        assert await mesh.send_ordinary(path, b"12345") == b"5"
+        mesh.check()
+
+
+@pytest.mark.parametrize("pieces_of", [_whole_small, _whole])
+async def test_a_frozen_owner_node_leaves_the_entry_node_alive(pieces_of):
+    """Guards against frames that wait for a node that does not read."""
+    async with crowd.start_mesh(
+        memory_mb=MEMORY_MB,
+        descriptors=MANY_DESCRIPTORS,
+        body_bytes=BODY_BYTES,
+        seconds=UPSTREAM_SECONDS,
+    ) as mesh:
+        mesh.send_signal("far", signal.SIGSTOP)
+        await mesh.crowd(MIXED_CLIENTS, functools.partial(pieces_of, "/far/"))
+        await mesh.crowd(MIXED_CLIENTS, functools.partial(pieces_of, "/far/"))
+        assert await mesh.send_ordinary("/near/", b"12345") == b"5"
+        mesh.send_signal("far", signal.SIGCONT)
+        assert await mesh.send_ordinary("/far/", b"12345") == b"5"
+        mesh.check()
+
+
+async def test_a_crowd_beside_a_restart_and_new_limits_is_withstood():
+    """Guards against a crowd that meets a node in its first moments.
+
+    The clients go on sending while the owner node and the limits change.
+    """
+    async with crowd.start_mesh(
+        memory_mb=MEMORY_MB,
+        descriptors=MANY_DESCRIPTORS,
+        body_bytes=BODY_BYTES,
+        seconds=UPSTREAM_SECONDS,
+    ) as mesh:
+        mesh.keep_sending(CLIENTS, functools.partial(_whole, "/far/"))
+        mesh.keep_sending(CLIENTS, functools.partial(_mixed, "/far/"))
+        await trio.sleep(2)
+        for version, service in ((2, "far"), (3, "near")):
+            mesh.change_limits(version, BODY_BYTES // version)
+            await mesh.restart(service)
+            assert await mesh.send_ordinary("/near/", b"12345") == b"5"
+            assert await mesh.send_ordinary("/far/", b"12345") == b"5"
+        mesh.check()
+
+
 @pytest.mark.parametrize("path", ["/near/", "/far/"])
 async def test_a_large_body_is_served_beside_clients_that_send_few_bytes(
     path,
--- a/tests/traffic/test_client_connections.py
+++ b/tests/traffic/test_client_connections.py
@@ -19,13 +19,17 @@
     limits=model.DEFAULT_CLIENT_LIMITS,
     account=None,
     read_limits=None,
+    on_framing_error=lambda error: None,
 ):
     """Yield the ``ClientConnections`` and an open stream to it."""
+
+    def handle_framing_error(error):
+        on_framing_error(error)
+        return messages.Response(status=error.status, headers=(), body=b"")
+
     connections = client_connections.ClientConnections(
         handle_request=handle_request,
-        handle_framing_error=lambda error: messages.Response(
-            status=error.status, headers=(), body=b""
-        ),
+        handle_framing_error=handle_framing_error,
         read_limits=read_limits or (lambda: limits),
         account=account,
     )
@@ -184,6 +188,28 @@
     assert account.held_bytes == 500_000 - memory_account.ALLOWANCE_BYTES
 
 
+async def test_a_head_without_memory_is_refused_under_its_id():
+    """Guards against a refusal that belongs to no request.
+
+    Memory is asked for before the head is parsed.
+    """
+    account = memory_account.MemoryAccount(limit_bytes=1_000_000)
+    other = memory_account.Holder(account=account)
+    assert other.try_hold(600_000)
+    ids = []
+    head = _request("/1")[:-2] + b"x-id: r1\r\n" + b"a: b\r\n" * 1900
+    async with _serving(
+        None,
+        account=account,
+        on_framing_error=lambda error: ids.append(
+            error.request_header("x-id")
+        ),
+    ) as (_, stream):
+        await stream.send_all(head + b"\r\n")
+        assert b" 503 " in await _read_until(stream, b"\r\n")
+    assert ids == ["r1"]
+
+
 @pytest.mark.parametrize("size", [10, 50_000, 700_000])
 async def test_nothing_stays_counted_after_requests(size):
     """Guards against memory that is counted for ever."""
