Accept several connections before other tasks run

Cause: A listener accepted one connection in a pass of the scheduler. Beside clients whose bytes take processor time a pass takes milliseconds, so that a new caller waited behind every queued connection of a crowd; and what the kernel received of the queued ones, up to 28 KB each, is in no account. Change: Up to 8 connections are accepted before other tasks run. Measured: pytest tests/transports/test_tcp.py -k queued_connections_do_not fails before and passes now.

--- a/shallotbridge/transports/tcp.py
+++ b/shallotbridge/transports/tcp.py
@@ -12,6 +12,9 @@
 # Connections that the kernel queues until they are accepted. Thousands of
 # peers may reconnect at the same time.
 LISTEN_BACKLOG = 1024
+# Connections that are accepted before other tasks run. Those for which there
+# is no room take a descriptor until they are closed.
+MAXIMUM_ACCEPTED_PER_PASS = 8
 # Delay before the next accept when one fails for lack of file descriptors or
 # memory.
 ACCEPT_RETRY_DELAY_SECONDS = 0.1
@@ -319,31 +322,33 @@
         with listener:
             task_status.started(listener.getsockname()[:2])
             try:
-                await _accept_connections(
-                    trio.socket.from_stdlib_socket(listener),
-                    handler,
-                    watcher,
-                    nursery,
-                )
+                await _accept_connections(listener, handler, watcher, nursery)
             finally:
                 _serve_queued(listener, handler, watcher, nursery)
 
 
 async def _accept_connections(listener, handler, watcher, nursery):
-    """Run a task for each connection until cancelled."""
+    """Run a task for each connection until cancelled.
+
+    Several are accepted before other tasks run. While these take long, each
+    new client would wait for a pass of the scheduler, and what the kernel
+    received of those in the queue is in no account.
+    """
     while True:
-        try:
-            connection, _ = await listener.accept()
-            stream = TcpStream(
-                socket.socket(fileno=connection.detach()), watcher
-            )
-        except OSError as error:
-            if error.errno in _RESOURCE_EXHAUSTION_ERRORS:
-                await trio.sleep(ACCEPT_RETRY_DELAY_SECONDS)
-            elif error.errno != errno.ECONNABORTED:
-                raise
-            continue
-        nursery.start_soon(_serve_stream, handler, stream)
+        await trio.lowlevel.wait_readable(listener)
+        for _ in range(MAXIMUM_ACCEPTED_PER_PASS):
+            try:
+                connection, _ = listener.accept()
+                stream = TcpStream(connection, watcher)
+            except BlockingIOError:
+                break
+            except OSError as error:
+                if error.errno in _RESOURCE_EXHAUSTION_ERRORS:
+                    await trio.sleep(ACCEPT_RETRY_DELAY_SECONDS)
+                elif error.errno != errno.ECONNABORTED:
+                    raise
+                break
+            nursery.start_soon(_serve_stream, handler, stream)
 
 
 def _serve_queued(listener, handler, watcher, nursery):
--- a/tests/transports/test_tcp.py
+++ b/tests/transports/test_tcp.py
@@ -1,12 +1,14 @@
 """Tests of byte streams over TCP."""
 
 import array
+import contextlib
 import fcntl
 import socket
 import termios
 
 import pytest
 import trio
+import trio.testing
 
 from shallotbridge.core import memory_account
 from shallotbridge.transports import tcp
@@ -171,6 +173,37 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_queued_connections_do_not_wait_for_each_other(nursery):
+    """Guards against new clients that wait while other tasks take long."""
+    count = 50
+    passes = 0
+    accepted = []
+    all_accepted = trio.Event()
+
+    async def handle(stream):
+        accepted.append(passes)
+        if len(accepted) == count:
+            all_accepted.set()
+
+    async def count_passes():
+        nonlocal passes
+        while True:
+            await trio.lowlevel.checkpoint()
+            passes += 1
+
+    _, port = await nursery.start(tcp.serve, "127.0.0.1", 0, handle)
+    await trio.testing.wait_all_tasks_blocked()
+    with contextlib.ExitStack() as stack:
+        for _ in range(count):
+            client = stack.enter_context(socket.socket())
+            # Completed by the kernel, without a pass of the scheduler.
+            client.connect(("127.0.0.1", port))
+        nursery.start_soon(count_passes)
+        await all_accepted.wait()
+    assert accepted[-1] - accepted[0] < count / 5
+    nursery.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize("is_large", [False, True])
 async def test_unread_bytes_are_no_more_than_is_counted(is_large, nursery):
     """Guards against memory of the kernel that the account does not know.
