Free closed connections without the garbage collector

Cause: The holder of a connection has a function that closes the connection, and the connection has the holder. A closed connection, with the bytes that it had received of a request, so stayed until the collection of objects that lived long, although the account no longer counted it. Found by reading, after the frames. Change: The function is dropped when the connection ends. Measured: pytest tests/traffic/test_client_connections.py -k garbage fails before and passes now. Not shown with processes.

--- a/shallotbridge/traffic/client_connections.py
+++ b/shallotbridge/traffic/client_connections.py
@@ -81,6 +81,8 @@
             self.connection_count -= 1
             self._connections.discard(connection)
             self._account.close_connection(connection.holder)
+            # Otherwise the connection and its holder refer to each other.
+            connection.holder.close = None
             stream.close()
 
     def _open(self, stream):
@@ -103,6 +105,7 @@
         connection.update()
         if self._account.open_connection(holder, trio.current_time()):
             return connection
+        holder.close = None
         return None
 
     def _close_at_once(self, connection):
--- a/tests/traffic/test_client_connections.py
+++ b/tests/traffic/test_client_connections.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import gc
 
 import pytest
 import trio
@@ -232,6 +233,29 @@
     assert account.held_bytes == 0 and account.connection_count == 0
 
 
+async def test_nothing_of_a_closed_connection_waits_for_garbage_collection():
+    """Guards against bytes of clients that nothing counts any more."""
+    account = memory_account.MemoryAccount(limit_bytes=10_000_000)
+
+    def count_connections():
+        return sum(
+            type(each) is client_connections._Connection
+            for each in gc.get_objects()
+        )
+
+    gc.collect()
+    gc.disable()
+    try:
+        async with _serving(None, account=account) as (_, stream):
+            await stream.send_all(_request("/1" + "x" * 15_000)[:-2])
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            assert count_connections() == 1
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        assert count_connections() == 0
+    finally:
+        gc.enable()
+
+
 async def test_a_connection_follows_the_limits_of_the_configuration():
     """Guards against the limits of a node without a configuration for good.
 
