--- a/soak/untrusted.py
+++ b/soak/untrusted.py
@@ -24,6 +24,10 @@
     _HEAD,
     _HEAD + b"x: y\r\n" * 2000,
     _HEAD + b"content-length: 60000\r\n\r\n" + bytes(59_000),
+    _HEAD
+    + b"xy: ab\r\n" * 1900
+    + b"content-length: 60000\r\n\r\n"
+    + bytes(59_000),
     _HEAD + b"content-length: 4000000\r\n\r\n" + bytes(3_999_000),
     _HEAD + b"content-length: 900000000\r\n\r\n" + bytes(100_000),
     _CHUNKED + b"2\r\nxx\r\n" * 8000,
