Keep no request in the task that hedges

Cause: The task that hedges slow requests kept the last one that it had looked at, with its body, until another request was due. A large idempotent request that was slow so stayed counted while the node was in calm, and the next body of the largest size could find no room. Found by reading, with the garbage collector switched off. Change: The search for slow requests is a function of its own, whose names end with it. Measured: pytest tests/traffic/test_entry.py -k hedger_keeps fails before and passes now. Not shown with processes.

--- a/shallotbridge/traffic/hedging.py
+++ b/shallotbridge/traffic/hedging.py
@@ -127,15 +127,20 @@
         async with trio.open_nursery() as nursery:
             while True:
                 await self._wait_until_due()
-                now = trio.current_time()
-                for request in list(self._requests):
-                    if (
-                        now >= request.hedge_at
-                        and not request.is_hedged
-                        and self._try_reserve_hedge(request.call)
-                    ):
-                        scope = request.begin_hedge()
-                        nursery.start_soon(self._run_hedge, request, scope)
+                self._begin_hedges(nursery)
+
+    def _begin_hedges(self, nursery):
+        # Not a part of ``run``, whose names would keep the last request, and
+        # so its body, until another one is slow.
+        now = trio.current_time()
+        for request in list(self._requests):
+            if (
+                now >= request.hedge_at
+                and not request.is_hedged
+                and self._try_reserve_hedge(request.call)
+            ):
+                scope = request.begin_hedge()
+                nursery.start_soon(self._run_hedge, request, scope)
 
     async def _wait_until_due(self):
         """Wait until a request may be due for hedging."""
--- a/tests/traffic/test_entry.py
+++ b/tests/traffic/test_entry.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 import trio
+import trio.testing
 
 from shallotbridge._generated import link
 from shallotbridge.core import errors
@@ -672,3 +673,28 @@
     finally:
         gc.enable()
     assert len(bodies) == 1 + is_served
+
+
+async def test_the_hedger_keeps_no_request(autojump_clock):
+    """Guards against a large body that stays counted in calm.
+
+    There would be no room for the next one until another request is slow.
+    """
+    body = memoryview(bytes(100_000))
+    kept = weakref.ref(body)
+
+    async def handle_offer(address, work):
+        if len(owners.offers) == 1:
+            await trio.sleep(0.9)
+        return _answer()
+
+    server, owners, _ = _server(handle_offer)
+    request = dataclasses.replace(_request(), body=body)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server.run_tasks)
+        response = await server.handle_request(request)
+        assert response.status == 200 and len(owners.offers) == 2
+        request = body = None
+        await trio.testing.wait_all_tasks_blocked()
+        assert kept() is None
+        nursery.cancel_scope.cancel()
