Do not time out a client while its body is decoded

A slower host would answer a request inside the limits with 408, always. Change: The time in which the node decodes the bytes of a client is added to the deadline of its body. The wait for a turn still counts, so that a crowd holds its memory no longer than before. Measured: pytest tests/core/test_http1.py -k timed_out_by fails before and passes now. Not shown with processes: this machine is fast enough.

--- a/shallotbridge/core/http1.py
+++ b/shallotbridge/core/http1.py
@@ -440,9 +440,13 @@
             return function(*arguments)
         with self._client_waits():
             await self._turns.take(self._served_bytes)
+        began = trio.current_time()
         try:
             return function(*arguments)
         finally:
+            # Not a part of the time in which the client has to send. The wait
+            # for a turn is, so that a crowd holds its memory no longer.
+            self._receive_deadline += trio.current_time() - began
             self._served_bytes += size
             await self._turns.release()
 
--- a/tests/core/test_http1.py
+++ b/tests/core/test_http1.py
@@ -404,3 +404,28 @@
         await queue.release()
     assert holder.is_waiting_for_client
     assert holder.progressed_at >= began
+
+
+async def test_a_client_is_not_timed_out_by_the_decoding_of_its_body(
+    autojump_clock, monkeypatch
+):
+    """Guards against a legal body that a slow host never serves.
+
+    Small chunks take the processor time of the node, and the client can send
+    no more meanwhile.
+    """
+    feed = http1.RequestReader._feed
+
+    def feed_slowly(reader, parser, data):
+        autojump_clock.jump(4.0)
+        feed(reader, parser, data)
+
+    monkeypatch.setattr(http1.RequestReader, "_feed", feed_slowly)
+    client_stream, server_stream = trio.testing.memory_stream_pair()
+    reader = http1.RequestReader(stream=server_stream)
+    await client_stream.send_all(_chunked_request(b"1\r\nx\r\n" * 50_000))
+    began = trio.current_time()
+    assert await reader.wait_request()
+    request = await reader.read()
+    assert len(request.body) == 50_000
+    assert trio.current_time() - began > http1.BODY_TIMEOUT_SECONDS
