--- a/tests/platform/test_untrusted_clients.py
+++ b/tests/platform/test_untrusted_clients.py
@@ -34,6 +34,16 @@
 MIXED_CLIENTS = 160
 
 
+def _start_mesh(descriptors=FILE_DESCRIPTORS, **options):
+    return crowd.start_mesh(
+        memory_mb=MEMORY_MB,
+        descriptors=descriptors,
+        body_bytes=BODY_BYTES,
+        seconds=UPSTREAM_SECONDS,
+        **options,
+    )
+
+
 def _sized(path, number):
     return crowd.sized(path, BODY_BYTES, is_whole=number % WHOLE_INTERVAL == 0)
 
@@ -172,12 +182,7 @@
     With the path of the far upstream, the node beside it must hold as well.
     """
     count, pieces_of = CROWDS[case]
-    async with crowd.start_mesh(
-        memory_mb=MEMORY_MB,
-        descriptors=FILE_DESCRIPTORS,
-        body_bytes=BODY_BYTES,
-        seconds=UPSTREAM_SECONDS,
-    ) as mesh:
+    async with _start_mesh() as mesh:
         await mesh.crowd(count, functools.partial(pieces_of, path))
         assert await mesh.send_ordinary(path, b"12345") == b"5"
         mesh.check()
@@ -196,12 +201,7 @@
 @pytest.mark.parametrize("case", COSTLY_CROWDS)
 async def test_a_crowd_that_goes_on_leaves_a_turn_to_others(case, path):
     """Guards against a node that stands still while it decodes bytes."""
-    async with crowd.start_mesh(
-        memory_mb=MEMORY_MB,
-        descriptors=FILE_DESCRIPTORS,
-        body_bytes=BODY_BYTES,
-        seconds=UPSTREAM_SECONDS,
-    ) as mesh:
+    async with _start_mesh() as mesh:
         mesh.keep_sending(
             COSTLY_CLIENTS, functools.partial(COSTLY_CROWDS[case], path)
         )
@@ -226,12 +226,7 @@
 async def test_many_connections_leave_the_node_alive(case, path):
     """Guards against memory that is not counted with each connection."""
     count, pieces_of = MANY_CROWDS[case]
-    async with crowd.start_mesh(
-        memory_mb=MEMORY_MB,
-        descriptors=MANY_DESCRIPTORS,
-        body_bytes=BODY_BYTES,
-        seconds=UPSTREAM_SECONDS,
-    ) as mesh:
+    async with _start_mesh(descriptors=MANY_DESCRIPTORS) as mesh:
         await mesh.crowd(count, functools.partial(pieces_of, path))
         assert await mesh.send_ordinary(path, b"12345") == b"5"
         mesh.check()
@@ -240,12 +235,7 @@
 @pytest.mark.parametrize("path", ["/near/", "/far/"])
 async def test_waves_of_mixed_clients_leave_the_node_alive(path):
     """Guards against memory that a wave does not give back."""
-    async with crowd.start_mesh(
-        memory_mb=MEMORY_MB,
-        descriptors=MANY_DESCRIPTORS,
-        body_bytes=BODY_BYTES,
-        seconds=UPSTREAM_SECONDS,
-    ) as mesh:
+    async with _start_mesh(descriptors=MANY_DESCRIPTORS) as mesh:
         for _ in range(WAVES):
             await mesh.crowd(MIXED_CLIENTS, functools.partial(_mixed, path))
         assert await mesh.send_ordinary(path, b"12345") == b"5"
@@ -259,12 +249,7 @@
 @pytest.mark.parametrize("path", ["/near/", "/far/"])
 async def test_kinds_of_clients_in_turn_leave_the_node_alive(path):
     """Guards against free memory that only the same kind uses again."""
-    async with crowd.start_mesh(
-        memory_mb=MEMORY_MB,
-        descriptors=MANY_DESCRIPTORS,
-        body_bytes=BODY_BYTES,
-        seconds=UPSTREAM_SECONDS,
-    ) as mesh:
+    async with _start_mesh(descriptors=MANY_DESCRIPTORS) as mesh:
         for pieces_of in _KINDS_IN_TURN:
             await mesh.crowd(MIXED_CLIENTS, functools.partial(pieces_of, path))
         assert await mesh.send_ordinary(path, b"12345") == b"5"
@@ -274,12 +259,7 @@
 @pytest.mark.parametrize("pieces_of", [_whole_small, _whole])
 async def test_a_frozen_owner_node_leaves_the_entry_node_alive(pieces_of):
     """Guards against frames that wait for a node that does not read."""
-    async with crowd.start_mesh(
-        memory_mb=MEMORY_MB,
-        descriptors=MANY_DESCRIPTORS,
-        body_bytes=BODY_BYTES,
-        seconds=UPSTREAM_SECONDS,
-    ) as mesh:
+    async with _start_mesh(descriptors=MANY_DESCRIPTORS) as mesh:
         mesh.send_signal("far", signal.SIGSTOP)
         await mesh.crowd(MIXED_CLIENTS, functools.partial(pieces_of, "/far/"))
         await mesh.crowd(MIXED_CLIENTS, functools.partial(pieces_of, "/far/"))
@@ -294,12 +274,7 @@
 
     The clients go on sending while the owner node and the limits change.
     """
-    async with crowd.start_mesh(
-        memory_mb=MEMORY_MB,
-        descriptors=MANY_DESCRIPTORS,
-        body_bytes=BODY_BYTES,
-        seconds=UPSTREAM_SECONDS,
-    ) as mesh:
+    async with _start_mesh(descriptors=MANY_DESCRIPTORS) as mesh:
         mesh.keep_sending(CLIENTS, functools.partial(_whole, "/far/"))
         mesh.keep_sending(CLIENTS, functools.partial(_mixed, "/far/"))
         await trio.sleep(2)
@@ -316,12 +291,7 @@
     path,
 ):
     """Guards against clients that keep their place with a byte at a time."""
-    async with crowd.start_mesh(
-        memory_mb=MEMORY_MB,
-        descriptors=FILE_DESCRIPTORS,
-        body_bytes=BODY_BYTES,
-        seconds=UPSTREAM_SECONDS,
-    ) as mesh:
+    async with _start_mesh() as mesh:
         mesh.trickle(TRICKLE_CLIENTS, crowd.sized(path, TRICKLE_BODY_BYTES))
         # The clients take the memory first.
         await trio.sleep(3)
@@ -338,12 +308,7 @@
 @pytest.mark.parametrize("path", ["/near/", "/far/"])
 async def test_a_node_with_a_crowd_stops_by_itself(path):
     """Guards against a planned stop that waits for such clients."""
-    async with crowd.start_mesh(
-        memory_mb=MEMORY_MB,
-        descriptors=FILE_DESCRIPTORS,
-        body_bytes=BODY_BYTES,
-        seconds=UPSTREAM_SECONDS,
-    ) as mesh:
+    async with _start_mesh() as mesh:
         await mesh.crowd(MIXED_CLIENTS // 2, functools.partial(_mixed, path))
         mesh.send_signal("near", signal.SIGHUP)
         mesh.send_signal("near", signal.SIGTERM)
@@ -352,13 +317,7 @@
 
 async def test_bodies_that_the_entry_node_takes_leave_the_owner_alive():
     """Guards against an owner node that ends under bodies of larger hosts."""
-    async with crowd.start_mesh(
-        memory_mb=MEMORY_MB,
-        entry_mb=600,
-        descriptors=FILE_DESCRIPTORS,
-        body_bytes=BODY_BYTES,
-        seconds=UPSTREAM_SECONDS,
-    ) as mesh:
+    async with _start_mesh(entry_mb=600) as mesh:
         await mesh.crowd(CLIENTS, functools.partial(_whole, "/far/"))
         assert await mesh.send_ordinary("/far/", b"12345") == b"5"
         mesh.check()
