Let new bodies wait for those that were received in part

Cause: While any connection waited for memory, a new large body that did not fit was refused at its head. In a crowd whose clients come again one waits all the time, so a legal body of 4 MB was never served beside 8 clients that send few bytes. It holds only its head, so it takes no room of bodies in progress. With half of the places taken it is refused at once, as before. The first two new tests of test_http1.py fail before; the third holds before. Without the interval the second fails. x86-64, 8 cores.

--- a/shallotbridge/core/http1.py
+++ b/shallotbridge/core/http1.py
@@ -655,7 +655,7 @@
                     "both an upgrade and a body; allowed: one of them"
                 )
             if (length or 0) > body_buffer.LARGE_BODY_BYTES:
-                self._check_room(length)
+                await self._wait_for_room(length)
             if expectation and not self._buffer:
                 with self._client_waits():
                     await self.before_continue()
@@ -741,8 +741,11 @@
             self._socket_buffer_bytes = 0
             self._stream.expect_large_message(False)
 
-    def _check_room(self, length):
-        """Refuse a body that cannot fit, or not while others wait.
+    async def _wait_for_room(self, length):
+        """Wait until a body fits, if others wait for memory already.
+
+        The connection holds only a head meanwhile. So the bodies that were
+        received in part can be completed or given up first.
 
         Raises
         ------
@@ -755,11 +758,24 @@
                 f"the body has {length} bytes; the memory of this host "
                 f"suffices for {account.maximum_message_bytes:.0f}"
             )
-        if account.paused and not account.has_room(
-            self._holder.held_bytes, length
-        ):
+        if not account.paused or self._holder.can_hold(length):
+            return
+        if account.paused >= memory_account.MAXIMUM_PAUSED_BEFORE_BODY:
             account.refused_count += 1
             raise self._no_memory(length)
+        await self._wait_for_memory(length, self._may_begin)
+
+    def _may_begin(self, length):
+        """Return whether a body that waited may be received now.
+
+        One begins in an interval, since the next has to see its bytes.
+        """
+        account = self._holder.account
+        now = trio.current_time()
+        if now < account.next_body_at or not self._holder.can_hold(length):
+            return False
+        account.next_body_at = now + _PAUSE_CHECK_SECONDS
+        return True
 
     def _no_memory(self, size):
         error = errors.RequestMemoryError(
--- a/shallotbridge/core/memory_account.py
+++ b/shallotbridge/core/memory_account.py
@@ -67,6 +67,8 @@
 FREED_RATIO = 1 / 8
 # Connections that wait for memory at the same time; others are refused.
 MAXIMUM_PAUSED = 64
+# The same of new bodies, so that those received in part can still wait.
+MAXIMUM_PAUSED_BEFORE_BODY = MAXIMUM_PAUSED // 2
 # Part of the connections that is closed at once when too many are open, so
 # that the search for them is rare.
 CLOSED_CONNECTIONS_RATIO = 1 / 16
@@ -140,6 +142,8 @@
         Open client connections.
     paused : int
         Connections that wait for memory now.
+    next_body_at : float
+        When a body that waited for room may be received next.
     paused_count, refused_count, closed_count : int
         How often reading paused, a request was refused and a connection was
         closed.
@@ -180,6 +184,7 @@
         self.held_bytes = 0
         self.peak_bytes = 0
         self.paused = 0
+        self.next_body_at = -math.inf
         self.paused_count = 0
         self.refused_count = 0
         self.closed_count = 0
--- a/tests/core/test_http1.py
+++ b/tests/core/test_http1.py
@@ -429,3 +429,74 @@
     request = await reader.read()
     assert len(request.body) == 50_000
     assert trio.current_time() - began > http1.BODY_TIMEOUT_SECONDS
+
+
+def _body_reader(account, length):
+    """Return a reader of a sized body, and the account of its connection."""
+    data = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n" % length
+    return http1.RequestReader(
+        stream=streams.ScriptedStream([data, bytes(length)]),
+        holder=memory_account.Holder(account=account),
+    )
+
+
+async def test_a_body_waits_for_those_that_were_received_in_part(
+    autojump_clock,
+):
+    """Guards against a legal body that is never served.
+
+    In a crowd whose clients come again, others wait for memory all the time.
+    """
+    account = memory_account.MemoryAccount(limit_bytes=3_000_000)
+    other = memory_account.Holder(account=account)
+    other.hold(2_500_000)
+    account.paused += 1
+    held = account.held_bytes
+    reader = _body_reader(account, 1_000_000)
+    assert await reader.wait_request()
+    requests = []
+
+    async def read():
+        requests.append(await reader.read())
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(read)
+        await trio.sleep(0.5)
+        assert account.held_bytes == held
+        other.release(2_500_000)
+    assert len(requests[0].body) == 1_000_000
+
+
+async def test_bodies_that_waited_begin_one_after_the_other(autojump_clock):
+    """Guards against bodies that take each other's room and all fail."""
+    account = memory_account.MemoryAccount(limit_bytes=3_000_000)
+    other = memory_account.Holder(account=account)
+    other.hold(2_500_000)
+    account.paused += 1
+    began = []
+
+    async def read(reader):
+        assert await reader.wait_request()
+        await reader.read()
+        began.append(trio.current_time())
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(4):
+            nursery.start_soon(read, _body_reader(account, 500_000))
+        await trio.sleep(0.5)
+        assert not began
+        other.release(2_500_000)
+    assert len(set(began)) == 4
+
+
+async def test_a_body_is_refused_at_once_if_many_wait(autojump_clock):
+    """Guards against new bodies that take the places of those in progress."""
+    account = memory_account.MemoryAccount(limit_bytes=3_000_000)
+    memory_account.Holder(account=account).hold(2_500_000)
+    account.paused = memory_account.MAXIMUM_PAUSED_BEFORE_BODY
+    reader = _body_reader(account, 1_000_000)
+    assert await reader.wait_request()
+    with pytest.raises(errors.RequestMemoryError):
+        await reader.read()
+    assert trio.current_time() == 0
+    assert account.refused_count == 1
