Read on after a refusal so that clients see it

Cause: After a refusal the node discarded 256 KiB, then closed the connection. Bytes that arrived later reset it, and a client that reads only after it has sent its body got a reset in place of 503: it lost the promise that the request has not run, so a request that is not idempotent could not be sent again. Change: The node discards as much as a body may have, still for 1 s at most.

--- a/shallotbridge/core/http1.py
+++ b/shallotbridge/core/http1.py
@@ -963,15 +963,22 @@
         )
 
 
-async def discard_input(stream):
-    """Read and discard incoming bytes, up to a time and size limit."""
+async def discard_input(stream, maximum_bytes=DISCARD_BYTES):
+    """Read and discard incoming bytes, up to a time and size limit.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+    maximum_bytes : int, optional
+        For a client that may still send its body, the limit of bodies.
+    """
     with trio.move_on_after(DISCARD_SECONDS):
         try:
             if hasattr(stream, "send_eof"):
                 await stream.send_eof()
-            remaining_bytes = DISCARD_BYTES
+            remaining_bytes = max(maximum_bytes, DISCARD_BYTES)
             while remaining_bytes > 0:
-                received = await stream.receive_some(_RECEIVE_BYTES)
+                received = await stream.receive_some(_RECEIVE_BODY_BYTES)
                 if not received:
                     return
                 remaining_bytes -= len(received)
--- a/shallotbridge/traffic/client_connections.py
+++ b/shallotbridge/traffic/client_connections.py
@@ -203,7 +203,10 @@
         await previous_done.wait()
         with trio.move_on_after(SEND_TIMEOUT_SECONDS):
             await connection.stream.send_all(data)
-            await http1.discard_input(connection.stream)
+            # Most clients read only after they have sent their body.
+            await http1.discard_input(
+                connection.stream, self._read_limits().maximum_body_bytes
+            )
 
     async def _wait_for_request(self, connection):
         with trio.CancelScope() as scope:
--- a/tests/traffic/test_client_connections.py
+++ b/tests/traffic/test_client_connections.py
@@ -211,6 +211,26 @@
     assert ids == ["r1"]
 
 
+async def test_a_client_that_sends_on_reads_its_refusal():
+    """Guards against a reset in place of a refusal.
+
+    Most clients read only after they have sent the body.
+    """
+    account = memory_account.MemoryAccount(limit_bytes=20_000_000)
+    other = memory_account.Holder(account=account)
+    assert other.try_hold(10_000_000)
+    account.paused = memory_account.MAXIMUM_PAUSED
+    limits = dataclasses.replace(
+        model.DEFAULT_CLIENT_LIMITS, maximum_body_bytes=8_000_000
+    )
+    head = b"POST /1 HTTP/1.1\r\nhost: a\r\ncontent-length: 8000000\r\n\r\n"
+    async with _serving(None, limits, account=account) as (_, stream):
+        await stream.send_all(head)
+        for _ in range(80):
+            await stream.send_all(bytes(100_000))
+        assert b" 503 " in await _read_until(stream, b"\r\n")
+
+
 @pytest.mark.parametrize("size", [10, 50_000, 700_000])
 async def test_nothing_stays_counted_after_requests(size):
     """Guards against memory that is counted for ever."""
