Look for the end of a chunked body with a plain search first

Cause: The pattern for the end of a chunked body was tried at each byte, so decoding took longer than before the bodies of line breaks were decoded at once. Change: A plain search finds the first place where the pattern can match. A piece without an empty line, the usual case, needs no pattern.

--- a/shallotbridge/core/http1.py
+++ b/shallotbridge/core/http1.py
@@ -465,7 +465,11 @@
         view = memoryview(data)
         position = 0
         while not parsed.is_complete:
-            found = _CHUNKED_END.search(data, position)
+            # The pattern takes far longer for a byte than the search.
+            candidate = data.find(_HEAD_END, position)
+            found = None
+            if candidate >= 0:
+                found = _CHUNKED_END.search(data, max(position, candidate - 1))
             if found is None:
                 end = max(position, len(data) - _CHUNKED_END_BYTES + 1)
             else:
