--- a/shallotbridge/core/memory_account.py
+++ b/shallotbridge/core/memory_account.py
@@ -67,7 +67,8 @@
 FREED_RATIO = 1 / 8
 # Connections that wait for memory at the same time; others are refused.
 MAXIMUM_PAUSED = 64
-# The same of new bodies, so that those received in part can still wait.
+# While so many wait, a new body without room is refused at once, so that those
+# received in part can still wait.
 MAXIMUM_PAUSED_BEFORE_BODY = MAXIMUM_PAUSED // 2
 # Part of the connections that is closed at once when too many are open, so
 # that the search for them is rare.
