Renew estimates of durations wherever they refuse a route

Three more gaps: a probe was refused for the wait for a slot by the same estimate, one with almost no time left told nothing, and a request that hangs held probes back. Ruled out: the entry node refuses nothing by its own estimate of a duration. Change: The estimates have a module of their own. Any estimate that refuses is old after 1 s without a completion; a probe is queued as of unknown duration and needs half of the time that others had left.

--- a/shallotbridge/traffic/admission.py
+++ b/shallotbridge/traffic/admission.py
@@ -8,10 +8,11 @@
 import math
 
 from ..core import errors
+from . import duration_estimates
 from . import rate_limit
 from . import startup
 
-# Weight of the newest duration in the exponential moving averages.
+# Weight of the newest duration in the mean over all routes.
 SMOOTHING_FACTOR = 0.1
 # A request is started only if at least this fraction of its expected duration
 # is left before its deadline. The fraction is below 1 because about a third
@@ -27,9 +28,6 @@
 # this fraction of the time until its deadline. Without a wait only
 # MINIMUM_REMAINING_FRACTION applies, since the estimate may be too high.
 MAXIMUM_DEADLINE_FRACTION = 0.9
-# A mean duration refuses no request for want of time if none of its route has
-# completed for this long, and none runs that could tell the present one.
-MAXIMUM_ESTIMATE_AGE_SECONDS = 1.0
 # Mean duration assumed before any request has completed.
 INITIAL_MEAN_SECONDS = 0.1
 # Bounds of the ``retry_after`` of a refusal.
@@ -62,6 +60,8 @@
     maximum_wait_seconds : float
         Longest expected wait for a slot, in seconds; the request is refused
         if its expected wait is longer.
+    is_idempotent : bool
+        Whether its caller may repeat it after an unknown outcome.
     on_granted : callable
         Called without arguments when the request gets a slot.
     on_refused : callable
@@ -75,8 +75,8 @@
         Expected duration on a typical upstream, as offered.
     concurrency : int
         Number of running requests at its grant, itself included.
-    is_probe : bool
-        Whether it is let through to renew the mean duration of its route.
+    doubted_seconds : float or None
+        The estimate of its route that it is let through to renew, if so.
     """
 
     __slots__ = (
@@ -91,10 +91,11 @@
         "on_refused",
         "offered_at",
         "granted_at",
+        "is_idempotent",
         "is_late",
         "usual_seconds",
         "concurrency",
-        "is_probe",
+        "doubted_seconds",
     )
 
     def __init__(
@@ -109,6 +110,7 @@
         on_refused,
         maximum_wait_seconds=math.inf,
         route_priority=0,
+        is_idempotent=False,
     ):
         self.route = route
         self.priority = priority
@@ -121,10 +123,11 @@
         self.on_refused = on_refused
         self.offered_at = 0.0
         self.granted_at = None
+        self.is_idempotent = is_idempotent
         self.is_late = False
         self.usual_seconds = expected_seconds
         self.concurrency = 0
-        self.is_probe = False
+        self.doubted_seconds = None
 
     def rank(self):
         """Return the sort key: by both priorities, then late requests last."""
@@ -169,9 +172,7 @@
         self.order = order
         self._waiting = []
         self._running = set()
-        self._mean_seconds_by_route = {}
-        # When a request of a route completed or was let through as a probe.
-        self._checked_at_by_route = {}
+        self._estimates = duration_estimates.DurationEstimates()
         self._mean_seconds = INITIAL_MEAN_SECONDS
         self._closed_error = None
         self._held_error = None
@@ -214,7 +215,17 @@
         self._held_error = None
         waiting, self._waiting = self._waiting, []
         for ticket in waiting:
-            ticket.on_refused(error)
+            self._refuse(ticket, error)
+
+    def _refuse(self, ticket, error):
+        """Refuse a request that has waited."""
+        self._estimates.on_ended(ticket)
+        ticket.on_refused(error)
+
+    @property
+    def probe_count(self):
+        """Number of requests that were sent to renew an estimate."""
+        return self._estimates.probe_count
 
     def hold(self, error):
         """Grant no slots until ``open`` or ``close`` is called.
@@ -263,13 +274,11 @@
         ):
             raise self._held_error.with_traceback(None)
         ticket.offered_at = now
-        expected = self._mean_seconds_by_route.get(
-            ticket.route, ticket.expected_seconds
-        )
-        ticket.expected_seconds = expected
+        ticket.expected_seconds = self._estimates.expected_seconds(ticket)
         if self.order is not None:
             self.order.on_offered(ticket, now)
-        self._check_deadline(ticket, expected, now)
+        self._check_deadline(ticket, now)
+        expected = ticket.expected_seconds
         wait, rate_wait = self._expected_waits(now, ticket)
         if (
             now + wait + expected * ON_TIME_DURATION_FACTOR
@@ -285,30 +294,26 @@
             or (ticket.is_late and wait > MAXIMUM_LATE_WAIT_SECONDS)
             or wait > ticket.maximum_wait_seconds
         ):
+            self._estimates.on_ended(ticket)
             raise self._make_overloaded_error(wait, rate_wait)
         bisect.insort(self._waiting, ticket, key=Ticket.rank)
         self.dispatch(now)
 
-    def _check_deadline(self, ticket, expected, now):
+    def _check_deadline(self, ticket, now):
+        """Raise an error if a request is expected to miss its deadline."""
+        expected = ticket.expected_seconds
         if now + expected * MINIMUM_REMAINING_FRACTION <= ticket.deadline_at:
             return
-        if now < ticket.deadline_at and not ticket.is_probe:
-            ticket.is_probe = self._is_estimate_old(ticket.route, now)
-            if ticket.is_probe:
-                self._checked_at_by_route[ticket.route] = now
-        if not ticket.is_probe:
-            raise errors.DeadlineBeforeSendError(
-                f"{max(0.0, ticket.deadline_at - now):.3f} s left before the "
-                f"deadline; expected duration {expected:.3f} s"
-            )
-
-    def _is_estimate_old(self, route, now):
-        """Return whether nothing tells the present duration of a route."""
-        checked_at = self._checked_at_by_route.get(route)
-        return (
-            checked_at is not None
-            and now - checked_at >= MAXIMUM_ESTIMATE_AGE_SECONDS
-            and all(each.route != route for each in self._running)
+        if self._estimates.try_begin_probe(
+            ticket, expected, self._running, now
+        ):
+            # Nothing is known of its duration.
+            ticket.doubted_seconds = expected
+            ticket.expected_seconds = 0.0
+            return
+        raise errors.DeadlineBeforeSendError(
+            f"{max(0.0, ticket.deadline_at - now):.3f} s left before the "
+            f"deadline; expected duration {expected:.3f} s"
         )
 
     def _make_overloaded_error(self, wait, rate_wait):
@@ -401,13 +406,14 @@
             if self.order is not None:
                 index = self.order.choose(self._waiting)
             ticket = self._waiting.pop(index)
-            expected = ticket.expected_seconds
             try:
-                self._check_deadline(ticket, expected, now)
+                self._check_deadline(ticket, now)
             except errors.CallError as error:
-                ticket.on_refused(error)
+                self._refuse(ticket, error)
                 continue
-            if not ticket.is_late and (now + expected > ticket.objective_at):
+            if not ticket.is_late and (
+                now + ticket.expected_seconds > ticket.objective_at
+            ):
                 # Moves behind the requests of its priority that can still
                 # meet their objective.
                 ticket.is_late = True
@@ -418,6 +424,7 @@
     def _grant(self, ticket, now):
         ticket.granted_at = now
         self._running.add(ticket)
+        self._estimates.on_granted(ticket, now)
         ticket.concurrency = len(self._running)
         if self.order is not None:
             self.order.on_granted(ticket)
@@ -465,7 +472,7 @@
                 kept.append(ticket)
         self._waiting = sorted(kept, key=Ticket.rank)
         for ticket, wait, rate_wait in refused:
-            ticket.on_refused(self._make_overloaded_error(wait, rate_wait))
+            self._refuse(ticket, self._make_overloaded_error(wait, rate_wait))
 
     def _refuse_held_requests(self, now):
         """Refuse the requests whose time to be held has passed."""
@@ -478,7 +485,7 @@
             (kept if now < until else refused).append(ticket)
         self._waiting = kept
         for ticket in refused:
-            ticket.on_refused(self._held_error)
+            self._refuse(ticket, self._held_error)
 
     def cancel_request(self, ticket, now):
         """Remove a waiting or running request that its caller cancelled."""
@@ -486,6 +493,7 @@
             self._release_slot(ticket, now)
         elif ticket in self._waiting:
             self._waiting.remove(ticket)
+            self._estimates.on_ended(ticket)
 
     def on_completed(self, ticket, now, is_success=True):
         """Free the slot of a completed request and record its duration.
@@ -513,14 +521,7 @@
                 now,
                 ticket.usual_seconds,
             )
-        mean = self._mean_seconds_by_route.get(
-            ticket.route, ticket.expected_seconds
-        )
-        weight = 1.0 if ticket.is_probe else SMOOTHING_FACTOR
-        self._mean_seconds_by_route[ticket.route] = mean + weight * (
-            seconds - mean
-        )
-        self._checked_at_by_route[ticket.route] = now
+        self._estimates.on_completed(ticket, seconds, now)
         self._mean_seconds += SMOOTHING_FACTOR * (seconds - self._mean_seconds)
         self._release_slot(ticket, now)
 
@@ -530,6 +531,7 @@
 
     def _release_slot(self, ticket, now):
         self._running.discard(ticket)
+        self._estimates.on_ended(ticket)
         self.dispatch(now)
 
     def resize(self, slots, now):
--- /dev/null
+++ b/shallotbridge/traffic/duration_estimates.py
@@ -0,0 +1,163 @@
+"""Mean durations of the routes at one upstream, and how they are renewed.
+
+A request with less time left than its route is expected to take is refused.
+Only requests that complete tell how long the route takes now, so an estimate
+that refuses them all would never change. While nothing tells the present
+duration, a single request at a time is let through: a probe.
+
+Responds to the load of clients that go on sending with less time left than the
+estimate asks for, after their upstream was slow, their deadlines became
+shorter, or the owner node has started again.
+
+The module starts no tasks and reads no clock: callers pass the current time.
+"""
+
+import dataclasses
+
+# Weight of the newest duration in the means.
+SMOOTHING_FACTOR = 0.1
+# A probe is allowed when nothing has told the duration for this long.
+PROBE_INTERVAL_SECONDS = 1.0
+# The outcome of a probe that does not complete is unknown. That is worse than
+# a refusal for a caller that must not repeat its request, so for such a probe
+# this many requests have to be refused, or more time has to pass.
+REFUSALS_PER_PROBE = 10
+MAXIMUM_PROBE_INTERVAL_SECONDS = 4.0
+# A probe needs at least this fraction of the most time that any refused
+# request had left: one that has almost none tells nothing.
+MINIMUM_PROBE_TIME_FRACTION = 0.5
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Estimate:
+    """What is known of the duration of a route.
+
+    Attributes
+    ----------
+    mean_seconds : float or None
+        None if no request has completed here.
+    checked_at : float or None
+        When a request completed or a probe was sent last; before either,
+        when the first request was refused.
+    longest_left : float
+        Most time that a refused request had left since then, seconds.
+    probe : admission.Ticket or None
+        The request that is let through now.
+    refusals : int
+        Number of requests that were refused since then.
+    """
+
+    mean_seconds: float | None = None
+    checked_at: float | None = None
+    longest_left: float = 0.0
+    probe: object = None
+    refusals: int = 0
+
+    def restart(self, now):
+        """Wait for the next probe from now on."""
+        self.checked_at = now
+        self.longest_left = 0.0
+        self.refusals = 0
+
+    def is_probe_due(self, ticket, now):
+        """Return whether nothing has told the duration for long enough."""
+        age = now - self.checked_at
+        if ticket.is_idempotent or self.refusals >= REFUSALS_PER_PROBE:
+            return age >= PROBE_INTERVAL_SECONDS
+        return age >= MAXIMUM_PROBE_INTERVAL_SECONDS
+
+
+class DurationEstimates:
+    """Mean durations by route.
+
+    Attributes
+    ----------
+    probe_count : int
+        Number of probes that were sent.
+    """
+
+    def __init__(self):
+        self._estimates_by_route = {}
+        self.probe_count = 0
+
+    def expected_seconds(self, ticket):
+        """Return the mean of the request's route, or what it expects."""
+        estimate = self._estimates_by_route.get(ticket.route)
+        if estimate is None or estimate.mean_seconds is None:
+            return ticket.expected_seconds
+        return estimate.mean_seconds
+
+    def try_begin_probe(self, ticket, expected, running, now):
+        """Return whether to let a request through to renew its estimate.
+
+        Parameters
+        ----------
+        ticket : admission.Ticket
+        expected : float
+            Estimate that refuses the request, seconds.
+        running : iterable of admission.Ticket
+            Those that run now.
+        now : float
+            Current time, seconds.
+        """
+        left = ticket.deadline_at - now
+        if left <= 0:
+            return False
+        estimate = self._estimates_by_route.get(ticket.route)
+        if estimate is None:
+            estimate = self._estimates_by_route[ticket.route] = _Estimate()
+        estimate.longest_left = max(estimate.longest_left, left)
+        if estimate.checked_at is None:
+            estimate.checked_at = now
+        if (
+            estimate.probe is not None
+            or not estimate.is_probe_due(ticket, now)
+            or left < estimate.longest_left * MINIMUM_PROBE_TIME_FRACTION
+            or any(
+                # One that runs for longer may have been lost.
+                other.route == ticket.route
+                and now - other.granted_at < expected
+                for other in running
+            )
+        ):
+            estimate.refusals += 1
+            return False
+        estimate.probe = ticket
+        return True
+
+    def on_granted(self, ticket, now):
+        """Count the probe as sent if the request is one."""
+        estimate = self._estimates_by_route.get(ticket.route)
+        if estimate is not None and estimate.probe is ticket:
+            self.probe_count += 1
+            estimate.restart(now)
+
+    def on_completed(self, ticket, seconds, now):
+        """Record the duration of a request; that of a probe is the new mean.
+
+        Parameters
+        ----------
+        ticket : admission.Ticket
+        seconds : float
+        now : float
+        """
+        estimate = self._estimates_by_route.get(ticket.route)
+        if estimate is None:
+            estimate = self._estimates_by_route[ticket.route] = _Estimate()
+        mean = estimate.mean_seconds
+        if estimate.probe is ticket:
+            mean = seconds
+        elif mean is None:
+            mean = ticket.expected_seconds
+        estimate.mean_seconds = mean + SMOOTHING_FACTOR * (seconds - mean)
+        estimate.restart(now)
+
+    def on_ended(self, ticket):
+        """Allow another probe if the request was one.
+
+        Called when a request has been refused, has completed or has ended
+        otherwise.
+        """
+        estimate = self._estimates_by_route.get(ticket.route)
+        if estimate is not None and estimate.probe is ticket:
+            estimate.probe = None
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -450,6 +450,11 @@
         order = self._admission.order
         return 0 if order is None else order.floor_grants
 
+    @property
+    def probe_count(self):
+        """Number of requests that were sent to renew an estimate."""
+        return self._admission.probe_count
+
     @property
     def limit(self):
         """Requests per second that the upstream takes now; may be infinite."""
@@ -625,6 +630,7 @@
             deadline_at=now - delay + work.remaining_ms / 1000,
             expected_seconds=work.expected_ms / 1000,
             maximum_wait_seconds=work.maximum_wait_ms / 1000,
+            is_idempotent=work.is_idempotent,
             on_granted=decision.grant,
             on_refused=decision.refuse,
         )
@@ -710,6 +716,20 @@
             self._crash_attribution.on_withdrawn(ticket)
             if not is_completed:
                 self._admission.on_aborted(ticket, trio.current_time())
+            if ticket.doubted_seconds is not None:
+                self._record_probe(work, ticket, is_completed)
+
+    def _record_probe(self, work, ticket, is_completed):
+        now = trio.current_time()
+        self._report_log.record(
+            "estimate_probe",
+            now,
+            chosen="renew the estimate" if is_completed else "keep it",
+            request_id=work.request_id,
+            route=work.route,
+            doubted_s=round(ticket.doubted_seconds, 3),
+            run_ms=round((now - ticket.granted_at) * 1000, 1),
+        )
 
     async def _exchange(self, work, request, ticket):
         """Send a request and return the response.
--- a/tests/traffic/test_admission.py
+++ b/tests/traffic/test_admission.py
@@ -15,7 +15,17 @@
 class _Request:
     """A simulated request and its result."""
 
-    def __init__(self, *, arrival, objective, deadline, run, priority=1):
+    def __init__(
+        self,
+        *,
+        arrival,
+        objective,
+        deadline,
+        run,
+        priority=1,
+        expected=0.1,
+        **options,
+    ):
         self.arrival = arrival
         self.run = run
         self.refusal = None
@@ -26,9 +36,10 @@
             priority=priority,
             objective_at=arrival + objective,
             deadline_at=arrival + deadline,
-            expected_seconds=0.1,
+            expected_seconds=expected,
             on_granted=lambda: None,
             on_refused=self.refuse,
+            **options,
         )
 
     def refuse(self, error):
@@ -42,8 +53,16 @@
         )
 
 
-def _simulate(requests, controller):
-    """Run requests in simulated time and set their results."""
+def _simulate(requests, controller, *, ends_at_deadline=False):
+    """Run requests in simulated time and set their results.
+
+    Parameters
+    ----------
+    requests : list of _Request
+    controller : admission.AdmissionController
+    ends_at_deadline : bool
+        Whether a request ends at its deadline without having completed.
+    """
     numbers = itertools.count()
     events = [(r.arrival, next(numbers), "arrive", r) for r in requests]
     heapq.heapify(events)
@@ -58,7 +77,10 @@
             if ticket.granted_at is not None and request not in running:
                 running.add(request)
                 end = ticket.granted_at + request.run
-                heapq.heappush(events, (end, next(numbers), "end", request))
+                kind = "end"
+                if ends_at_deadline and end > ticket.deadline_at:
+                    end, kind = ticket.deadline_at, "abort"
+                heapq.heappush(events, (end, next(numbers), kind, request))
             if request.refusal is not None and request.refused_at is None:
                 request.refused_at = now
 
@@ -72,6 +94,8 @@
         elif kind == "end":
             request.ended_at = now
             controller.on_completed(request.ticket, now)
+        elif kind == "abort":
+            controller.on_aborted(request.ticket, now)
         else:
             controller.dispatch(now)
             controller.shed_waiting_requests(now)
@@ -303,6 +327,119 @@
     assert 1 <= len(granted) <= 20
 
 
+def _make_controller(slots=12):
+    return admission.AdmissionController(
+        slots=slots, cold_start=cold_start.ColdStartLimiter()
+    )
+
+
+def _short_requests(start, count, *, gap=0.1, run=0.15, **options):
+    """Return requests with less time left than their route once took."""
+    options = {"objective": 0.4, "deadline": 0.8, "expected": 1.8} | options
+    return [
+        _Request(arrival=start + n * gap, run=run, **options)
+        for n in range(count)
+    ]
+
+
+def _slow_request(**options):
+    """Return a request that tells that its route is slow until 1.8 s."""
+    return _Request(
+        arrival=0.0,
+        objective=3.0,
+        deadline=3.0,
+        run=1.8,
+        expected=1.8,
+        **options,
+    )
+
+
+def _are_on_time(requests, since):
+    late = [each for each in requests if each.arrival >= since]
+    return bool(late) and all(each.is_on_time for each in late)
+
+
+def test_an_estimate_of_entry_nodes_does_not_refuse_a_route_for_good():
+    """Guards against refusals without end after a restart of an owner node.
+
+    The pattern: the upstream was slow, the owner node has just started and
+    knows nothing, and entry nodes expect what they saw before.
+    """
+    requests = _short_requests(0.0, 100)
+    _simulate(requests, _make_controller(), ends_at_deadline=True)
+    assert _are_on_time(requests, since=2.0)
+
+
+def test_an_estimate_is_renewed_beside_the_load_of_other_routes():
+    """Guards against probes that are refused for the wait for a slot.
+
+    The pattern: less urgent requests keep all slots in use.
+    """
+    requests = _short_requests(2.0, 100, priority=0)
+    others = [
+        _Request(
+            arrival=n * 0.05, objective=9.0, deadline=9.0, run=0.11, priority=2
+        )
+        for n in range(240)
+    ]
+    _simulate(
+        [_slow_request(priority=0), *requests, *others],
+        _make_controller(2),
+        ends_at_deadline=True,
+    )
+    assert _are_on_time(requests, since=4.5)
+
+
+def test_an_estimate_is_renewed_by_a_request_with_time_left():
+    """Guards against probes that have no time to complete.
+
+    The pattern: a request that has almost no time left arrives first
+    whenever a probe is due.
+    """
+    hopeless = _short_requests(1.83, 100, gap=0.11, deadline=0.02)
+    requests = _short_requests(1.835, 100, gap=0.11)
+    _simulate(
+        [_slow_request(), *hopeless, *requests],
+        _make_controller(),
+        ends_at_deadline=True,
+    )
+    assert _are_on_time(requests, since=4.5)
+
+
+def test_an_estimate_is_renewed_beside_a_request_that_hangs():
+    """Guards against one lost request that keeps its route refused."""
+    hanging = _Request(
+        arrival=1.0, objective=30.0, deadline=30.0, run=60.0, expected=1.8
+    )
+    requests = _short_requests(2.0, 100)
+    _simulate(
+        [_slow_request(), hanging, *requests],
+        _make_controller(),
+        ends_at_deadline=True,
+    )
+    assert _are_on_time(requests, since=5.0)
+
+
+@pytest.mark.parametrize(
+    "gap, is_idempotent, most",
+    [(0.1, False, 20), (1.0, False, 5), (1.0, True, 20)],
+)
+def test_unknown_outcomes_of_a_slow_route_are_few(gap, is_idempotent, most):
+    """Guards against probes that cost callers more than refusals.
+
+    At most one request a second has an unknown outcome. Of those that must
+    not be repeated, it is at most one of ten or one in four seconds.
+    """
+    controller = _make_controller()
+    requests = _short_requests(
+        2.0, int(20 / gap), gap=gap, run=1.8, is_idempotent=is_idempotent
+    )
+    _simulate([_slow_request(), *requests], controller, ends_at_deadline=True)
+    granted = [r for r in requests if r.ticket.granted_at is not None]
+    assert 1 <= len(granted) <= most
+    assert controller.probe_count == len(granted)
+
+
 def test_closing_refuses_waiting_and_new_requests():
     """Guards against requests that hang when the upstream is draining."""
     controller = admission.AdmissionController(
