Admit a few requests while all their calls fail

Cause: With SHALLOTBRIDGE_OVERLOAD=outcome, requests whose calls had all failed for a while were refused for good after the called service was back: each refusal counted as failed calls, so the admitted ratio stayed 0, and only calls of admitted requests could raise it. Change: The number of recent requests below which nothing is throttled is admitted also above it, so the ratio is continuous and never 0. Tried and not kept: the divisor of the source, requests + 1.

--- a/shallotbridge/traffic/call_graph.py
+++ b/shallotbridge/traffic/call_graph.py
@@ -11,7 +11,9 @@
 request whose call is refused has used its slot for nothing. Requests that make
 calls are then refused in proportion, by the client-side throttling of
 "Handling Overload" in Beyer et al., Site Reliability Engineering (2016): a
-request is refused with the probability ``1 - K * accepts / requests``.
+request is refused with the probability ``1 - K * accepts / requests``. A few
+are admitted even if no call is served: only requests that run make the calls
+that show when the service is back.
 
 The module starts no tasks and reads no clock: callers pass the current time.
 """
@@ -58,8 +60,8 @@
 # With 2, the value of the source, 23 instead of 27 in 100 of the more urgent
 # requests had answers in time in bench/overload.py.
 THROTTLING_FACTOR = 1.2
-# Requests are throttled only after this many recent responses, as a single
-# refusal says little.
+# So many recent requests are admitted without regard to their results: a
+# single refusal says little, and without any no result would ever change.
 MINIMUM_RECENT_REQUESTS = 4.0
 
 
@@ -104,7 +106,10 @@
         self.decay(now)
         if self.requested < MINIMUM_RECENT_REQUESTS:
             return 1.0
-        return min(1.0, THROTTLING_FACTOR * self.served / self.requested)
+        admitted = max(
+            MINIMUM_RECENT_REQUESTS, THROTTLING_FACTOR * self.served
+        )
+        return min(1.0, admitted / self.requested)
 
 
 class CallGraph:
--- a/tests/traffic/test_call_graph.py
+++ b/tests/traffic/test_call_graph.py
@@ -56,3 +56,24 @@
     assert graph.success_ratio("browse", 1, now) < 0.3
     assert graph.success_ratio("report", 1, now) == 1.0
     assert graph.success_ratio("browse", 1, now + 10.0) == 1.0
+
+
+def test_requests_are_admitted_again_when_their_calls_are_served_again():
+    """Guards against throttling that prevents the calls that would end it.
+
+    The pattern: all calls fail for 10 s while the requests go on.
+    """
+    for seed in range(10):
+        random_source = random.Random(seed)
+        graph, start = _learn(seed)
+        admitted = []
+        for number in range(1000):
+            now = start + number * 0.1
+            ratio = graph.success_ratio("browse", 1, now)
+            if ratio < 1 and random_source.random() >= ratio:
+                graph.on_throttled("browse", now)
+                continue
+            admitted.append(now - start)
+            graph.on_call_result("call", now - start > 10.0, now)
+        assert sum(1 for at in admitted if 5 < at <= 10) <= 15
+        assert sum(1 for at in admitted if at > 70) > 0.9 * 300
