Send signals at any moment and slow services down in the soak

Cause: The soak told a starting process of changed settings only once the signal was ignored, so it could not see the window before, and it accepted any process that ended by SIGTERM. No upstream was slow, and time-outs never changed. Change: Nodes are started by the command of the deploy file. SIGHUP comes at any moment of a start, SIGHUP, SIGTERM and SIGINT in series until a stopped process has ended. An end by a signal is allowed, and counted, only if the signal came before the process handled it. In runs of 20 s or more, all upstreams of a service turn slow, versions with a lower time-out come, and their owner nodes restart; afterwards the service must be served.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -36,6 +36,7 @@
         print(
             f"seed {number}: {len(run_records.calls)} requests, statuses "
             f"{dict(statuses)}, {len(run_records.faults)} faults, "
+            f"{run_records.early_ends} ended by a signal before their start, "
             f"{len(violations)} violations",
             flush=True,
         )
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -76,11 +76,13 @@
             sent_at=fleet.clock(),
             previous_requests=previous_requests,
             is_limited=is_limited,
+            service=fleet_module.SERVICE,
         )
         fleet.records.calls.append(call)
         method, path = ("GET", "browse") if is_idempotent else ("POST", "hold")
         if number % OTHER_SERVICE_REQUESTS == 0:
             path = "order"
+            call.service = fleet_module.OTHER_SERVICE
         response = await _exchange(
             stream,
             reader,
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -26,6 +26,12 @@
 # RECOVERY_LIMIT_SECONDS later on.
 HARMFUL_CRASHES = 3
 HARMFUL_RUNS_ALLOWED = 3
+# A service is served again so long after its upstreams were slow; then, over
+# such a time without faults, at least this ratio of its requests is.
+SLOW_RECOVERY_SECONDS = 6.0
+SLOW_CHECK_SECONDS = 3.0
+MINIMUM_SERVED_RATIO = 0.25
+MINIMUM_SLOW_CALLS = 20
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -42,6 +48,7 @@
         *_find_harmful_runs(records),
         *_find_version_violations(records),
         *_find_lost_requests(records),
+        *_find_refused_services(records),
     ]
 
 
@@ -267,3 +274,29 @@
                 f"{call.ended_at - call.sent_at:.2f} s after it was sent "
                 f"at {call.sent_at:.2f}"
             )
+
+
+def _find_refused_services(records):
+    """Find services that stay refused after their upstreams were slow."""
+    for service, _, ended in records.slow_times:
+        start = ended + SLOW_RECOVERY_SECONDS
+        end = start + SLOW_CHECK_SECONDS
+        calls = [
+            call
+            for call in records.calls
+            if call.service == service
+            and not call.is_limited
+            and start <= call.sent_at < end
+        ]
+        served = sum(call.status == 200 for call in calls)
+        if (
+            len(calls) >= MINIMUM_SLOW_CALLS
+            and served < MINIMUM_SERVED_RATIO * len(calls)
+            and records.has_no_faults(
+                None, start - RECOVERY_LIMIT_SECONDS, end
+            )
+        ):
+            yield (
+                f"{service}: {served} of {len(calls)} requests served from "
+                f"{start:.2f} on; its upstreams were slow until {ended:.2f}"
+            )
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -4,6 +4,8 @@
 import random
 import signal
 import sys
+import sysconfig
+import tomllib
 
 import trio
 
@@ -51,13 +53,19 @@
 # Memory of a node, so small that untrusted clients can fill it.
 MEMORY_MB = 100
 MAXIMUM_BODY_BYTES = 4 * 1024 * 1024
+TIMEOUT_MS = 1200
 # The settings of a starting process change as often as this, with these pauses
 # between two signals.
 START_SIGNALS = 4
 START_SIGNAL_SECONDS = (0.0, 0.2)
-MODULE_START_SECONDS = 1.0
 # Exit statuses of processes that were stopped or killed.
-_PLANNED_EXIT_STATUSES = (0, -signal.SIGKILL, -signal.SIGTERM)
+_PLANNED_EXIT_STATUSES = (0, -signal.SIGKILL)
+_HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+_DEPLOYMENT = tomllib.loads(
+    (processes.ROOT / "deploy" / "system.toml").read_text()
+)
+# Without the interpreter, which is the one of this process.
+_NODE_ARGUMENTS = _DEPLOYMENT["roles"]["node"]["run"].split()[1:]
 LIMITS_PER_SECOND = (0.0, 1.5, 5.0, 16.9, 40.0)
 _EXIT_POLL_SECONDS = 0.05
 
@@ -121,6 +129,8 @@
         self.store_address = f"{prefix}.3.{number + 1}"
         self.name = f"host-{number}"
         self.incarnation = 0
+        # Signals that the process got before it handled or ignored them.
+        self.early_signals = set()
         self.service = service
         self.upstream_number = 0
         self.start_number = 0
@@ -129,6 +139,7 @@
         self.crashes_silently = False
         self.down_seconds = 0.0
         self.limit = None
+        self.slowness = 1.0
         self.is_leaving = False
         self.is_older = False
         self.link_proxy = proxy.Proxy(
@@ -195,6 +206,7 @@
         self.random = self._random = random.Random(seed)
         # Has its own sequence, so that the plans of earlier seeds stay.
         self._signal_random = random.Random(f"signals {seed}")
+        self.timeout_ms = TIMEOUT_MS
         self._nursery = None
 
     async def start(self, nursery):
@@ -247,20 +259,25 @@
         """Run the node process and restart it whenever it ends."""
         while True:
             host.incarnation += 1
-            environment = {"SHALLOTBRIDGE_SETTINGS": settings}
-            command = None
+            host.early_signals.clear()
+            command, arguments = (sys.executable,), _NODE_ARGUMENTS
+            search_path = sysconfig.get_path("purelib")
             if host.is_older:
                 # The older build is imported, not the one of this directory.
-                environment["PYTHONPATH"] = self._older
+                search_path = self._older
                 command = (sys.executable, "-P", "-m")
+                arguments = ["shallotbridge.platform"]
             process = self._process_manager.start(
                 host.name,
-                ["shallotbridge.platform"],
+                arguments,
                 command=command,
-                environment=environment,
+                environment={
+                    "SHALLOTBRIDGE_SETTINGS": settings,
+                    "PYTHONPATH": search_path,
+                },
             )
             if not host.is_older:
-                self._nursery.start_soon(self._signal_starting, process)
+                self._nursery.start_soon(self._signal_starting, host, process)
             peak_bytes = 0
             while process.poll() is None:
                 peak_bytes = processes.read_memory_bytes(process.pid, "VmHWM")
@@ -269,27 +286,20 @@
                 self._check_ended(host, process.returncode, peak_bytes)
             await trio.sleep(RESTART_DELAY_SECONDS)
 
-    async def _signal_starting(self, process):
-        """Tell a process several times that its settings changed.
-
-        The interpreter needs some time until it runs a module; a signal
-        before that ends any process.
-        """
-        with trio.move_on_after(MODULE_START_SECONDS):
-            while process.poll() is None and not processes.ignores_signal(
-                process.pid, signal.SIGHUP
-            ):
-                await trio.sleep(_EXIT_POLL_SECONDS / 10)
+    async def _signal_starting(self, host, process):
+        """Tell a process several times that its settings changed."""
         for _ in range(START_SIGNALS):
             await trio.sleep(
                 self._signal_random.uniform(*START_SIGNAL_SECONDS)
             )
-            if process.poll() is None:
-                process.send_signal(signal.SIGHUP)
+            if self._process_manager.get_process(host.name) is process:
+                self.send_signal(host, signal.SIGHUP)
 
     def _check_ended(self, host, status, peak_bytes):
         violations = self.records.process_violations
-        if status not in _PLANNED_EXIT_STATUSES:
+        if -status in host.early_signals:
+            self.records.early_ends += 1
+        elif status not in _PLANNED_EXIT_STATUSES:
             violations.append(f"{host.name}: ended by itself, status {status}")
         self._check_memory(host, peak_bytes)
 
@@ -318,10 +328,25 @@
             hosts_by_domain[host.domain] = host
         return list(hosts_by_domain.values())
 
+    def is_running(self, host):
+        """Return whether the node process of a host runs."""
+        return self._process_manager.is_running(host.name)
+
     def send_signal(self, host, number):
-        """Send a signal to the node process if it is running."""
-        if self._process_manager.is_running(host.name):
-            self._process_manager.send_signal(host.name, number)
+        """Send a signal to the node process if it is running.
+
+        Before its first line runs, a process cannot handle or ignore one.
+        """
+        if not self.is_running(host):
+            return
+        process = self._process_manager.get_process(host.name)
+        # The interpreter starts with a handler of SIGINT, which ends it.
+        checked = signal.SIGTERM if number == signal.SIGINT else number
+        if number in _HANDLED_SIGNALS and not processes.ignores_signal(
+            process.pid, checked
+        ):
+            host.early_signals.add(number)
+        process.send_signal(number)
 
     def resume(self, host):
         """Resume a paused process."""
@@ -334,13 +359,14 @@
         self.version += self._random.randint(1, 3)
         published = self.records.published_at_by_version
         published[self.version] = self.clock()
+        rule = functools.partial(_rule, timeout_ms=self.timeout_ms)
         rules = [
-            _rule("browse", "idempotent"),
-            _rule("hold", "unsafe"),
-            _rule("order", "idempotent", service=OTHER_SERVICE),
+            rule("browse", "idempotent"),
+            rule("hold", "unsafe"),
+            rule("order", "idempotent", service=OTHER_SERVICE),
         ]
         rules.extend(
-            _rule(f"v{version}", "idempotent") | {"public": True}
+            rule(f"v{version}", "idempotent") | {"public": True}
             for version in published
         )
         customers = {
@@ -503,7 +529,7 @@
         upstream_id = host.upstream_id
         self.records.add_run(request_id, upstream_id, self.clock())
         self._check_headers(request, request_id)
-        await trio.sleep(self._random.uniform(0.005, 0.06))
+        await trio.sleep(self._random.uniform(0.005, 0.06) * host.slowness)
         identity = self.records.harmful_identities_by_id.get(request_id)
         if identity is not None and not host.is_leaving:
             self._nursery.start_soon(self._replace_crashed, host, identity)
@@ -540,7 +566,7 @@
     return request_id.encode() * 40
 
 
-def _rule(name, kind, *, service=SERVICE):
+def _rule(name, kind, *, timeout_ms, service=SERVICE):
     return {
         "name": name,
         "kind": "idempotent" if kind == "idempotent" else "non_idempotent",
@@ -549,7 +575,7 @@
         "match": {"path_prefix": f"/{name}/"},
         "action": {
             "service": service,
-            "timeout": "1200ms",
+            "timeout": f"{timeout_ms}ms",
             "max_attempts": 2,
         },
     }
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -14,6 +14,14 @@
 # so that the hosts that are not lost must keep the limits.
 READER_SEED_INTERVAL = 3
 
+# Mean time between two stops with further signals.
+MEAN_STOP_INTERVAL_SECONDS = 4.0
+# Start and duration of the time in which all upstreams of a service are slow,
+# and the least length of a run that has one: what follows is checked.
+SLOW_AT_SECONDS = (2.0, 5.0)
+SLOW_SECONDS = (2.0, 4.0)
+MINIMUM_SLOW_RUN_SECONDS = 20.0
+
 # Weight, minimum and maximum duration in seconds of each kind.
 KINDS = {
     "link_delay": (2, 0.5, 3.0),
@@ -36,7 +44,9 @@
     "limit": (3, 3.0, 7.0),
     "harmful": (2, 6.0, 9.0),
     "domain_out": (1, 3.0, 6.0),
-    # Not chosen at random; see ``run.run_seed``.
+    # Not chosen with the others; see ``_make_stops`` and ``run.run_seed``.
+    "stop_signals": (0, 0.0, 0.0),
+    "slow_upstreams": (0, *SLOW_SECONDS),
     "kill_all": (0, 0.0, 0.0),
 }
 # Actions of operators; all other kinds are faults.
@@ -44,6 +54,8 @@
     {
         "sighup",
         "terminate",
+        "stop_signals",
+        "slow_upstreams",
         "configuration",
         "configurations",
         "drain",
@@ -113,4 +125,37 @@
             )
         )
         at += random_source.expovariate(1 / MEAN_INTERVAL_SECONDS)
-    return entries
+    if seed % READER_SEED_INTERVAL:
+        entries.extend(_make_stops(seed, seconds=seconds, hosts=hosts))
+    return sorted(entries, key=lambda entry: entry.at)
+
+
+def _make_stops(seed, *, seconds, hosts):
+    """Return stops with signals in series, and slow upstreams.
+
+    Their own sequence keeps the other entries of earlier seeds.
+    """
+    random_source = random.Random(f"stops {seed}")
+    entries = []
+    if seconds >= MINIMUM_SLOW_RUN_SECONDS:
+        entries.append(
+            Entry(
+                at=random_source.uniform(*SLOW_AT_SECONDS),
+                kind="slow_upstreams",
+                host=random_source.randrange(hosts),
+                seconds=random_source.uniform(*SLOW_SECONDS),
+            )
+        )
+    at = START_MARGIN_SECONDS
+    while True:
+        at += random_source.expovariate(1 / MEAN_STOP_INTERVAL_SECONDS)
+        if at >= seconds - END_MARGIN_SECONDS:
+            return entries
+        entries.append(
+            Entry(
+                at=at,
+                kind="stop_signals",
+                host=random_source.randrange(hosts),
+                seconds=0.0,
+            )
+        )
--- a/soak/records.py
+++ b/soak/records.py
@@ -22,6 +22,8 @@
         Number of earlier requests on the same connection.
     is_limited : bool
         Whether its customer has a quota.
+    service : str
+        Service that it is for.
     """
 
     request_id: str
@@ -33,6 +35,7 @@
     is_own_response: bool = False
     previous_requests: int = 0
     is_limited: bool = False
+    service: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -83,6 +86,11 @@
         # Texts on node processes that ended by themselves, or that took more
         # memory than their settings allow.
         self.process_violations = []
+        # Number of processes that a signal ended before their first line ran.
+        self.early_ends = 0
+        # Times in which all upstreams of a service were slow, as tuples of
+        # (service, start, end).
+        self.slow_times = []
         # Texts on requests that came to upstreams with a key, or without the
         # name of their customer.
         self.header_violations = []
--- a/soak/run.py
+++ b/soak/run.py
@@ -31,6 +31,14 @@
 # Time after which operators and upstreams write again what a restored store
 # has lost.
 REWRITE_DELAY_SECONDS = 1.2
+STOP_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+STOP_SIGNAL_GAP_SECONDS = (0.0, 0.2)
+# Work of a slow upstream takes so many times as long, mostly less than the
+# usual time-out and more than the short one.
+SLOWNESS = 20.0
+SHORT_TIMEOUT_MS = 400
+# Between the restarts of the owner nodes of slow upstreams.
+RESTART_GAP_SECONDS = (0.0, 0.5)
 
 
 def run_seed(seed, *, seconds, hosts, domains, older=None, kill_all_at=None):
@@ -308,6 +316,34 @@
     fleet.send_signal(host, signal.SIGTERM)
 
 
+async def _stop_with_signals(fleet, host, seconds):
+    """Stop a node, with further signals until its process has ended."""
+    incarnation = host.incarnation
+    fleet.send_signal(host, signal.SIGTERM)
+    while host.incarnation == incarnation and fleet.is_running(host):
+        await trio.sleep(fleet.random.uniform(*STOP_SIGNAL_GAP_SECONDS))
+        if host.incarnation == incarnation:
+            fleet.send_signal(host, fleet.random.choice(STOP_SIGNALS))
+
+
+async def _slow_down_upstreams(fleet, host, seconds):
+    """Slow down a service, lower its time-outs and restart its owner nodes."""
+    slow = [each for each in fleet.hosts if each.service == host.service]
+    began = fleet.clock()
+    for each in slow:
+        each.slowness = SLOWNESS
+    await trio.sleep(seconds)
+    fleet.timeout_ms = SHORT_TIMEOUT_MS
+    fleet.publish()
+    for each in slow:
+        fleet.send_signal(each, signal.SIGTERM)
+        await trio.sleep(fleet.random.uniform(*RESTART_GAP_SECONDS))
+        fleet.publish()
+    for each in slow:
+        each.slowness = 1.0
+    fleet.records.slow_times.append((host.service, began, fleet.clock()))
+
+
 async def _publish(fleet, host, seconds):
     fleet.publish()
 
@@ -347,6 +383,8 @@
     "pause": _pause,
     "sighup": _send_sighup,
     "terminate": _terminate,
+    "stop_signals": _stop_with_signals,
+    "slow_upstreams": _slow_down_upstreams,
     "configuration": _publish,
     "configurations": _publish_burst,
     "drain": _drain,
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -25,6 +25,19 @@
     assert served > len(run_records.calls) / 2 > 0
 
 
+def test_a_slow_service_is_served_again_after_its_owner_nodes_restarted():
+    """Guards against routes that stay refused, and signals that end nodes.
+
+    Upstreams are slow while versions with a lower time-out come and owner
+    nodes restart. Signals come at any moment of each start and stop.
+    """
+    run_records, violations, _ = run.run_seed(
+        5002, seconds=24.0, hosts=6, domains=3
+    )
+    assert violations == []
+    assert len(run_records.slow_times) == 1
+
+
 def test_requests_are_served_again_after_all_nodes_were_killed():
     """Guards against a fleet that waits for itself after a mass restart.
 
