--- a/shallotbridge/traffic/admission.py
+++ b/shallotbridge/traffic/admission.py
@@ -424,7 +424,7 @@
     def _grant(self, ticket, now):
         ticket.granted_at = now
         self._running.add(ticket)
-        self._estimates.on_granted(ticket, now)
+        self._estimates.on_granted(ticket)
         ticket.concurrency = len(self._running)
         if self.order is not None:
             self.order.on_granted(ticket)
@@ -521,7 +521,7 @@
                 now,
                 ticket.usual_seconds,
             )
-        self._estimates.on_completed(ticket, seconds, now)
+        self._estimates.on_completed(ticket, seconds)
         self._mean_seconds += SMOOTHING_FACTOR * (seconds - self._mean_seconds)
         self._release_slot(ticket, now)
 
--- a/shallotbridge/traffic/duration_estimates.py
+++ b/shallotbridge/traffic/duration_estimates.py
@@ -3,7 +3,8 @@
 A request with less time left than its route is expected to take is refused.
 Only requests that complete tell how long the route takes now, so an estimate
 that refuses them all would never change. While nothing tells the present
-duration, a single request at a time is let through: a probe.
+duration, a single request at a time is let through: a probe. One request that
+has too little time left is still refused at once.
 
 Responds to the load of clients that go on sending with less time left than the
 estimate asks for, after their upstream was slow, their deadlines became
@@ -16,7 +17,7 @@
 
 # Weight of the newest duration in the means.
 SMOOTHING_FACTOR = 0.1
-# A probe is allowed when nothing has told the duration for this long.
+# A probe is allowed when an estimate has refused requests for this long.
 PROBE_INTERVAL_SECONDS = 1.0
 # The outcome of a probe that does not complete is unknown. That is worse than
 # a refusal for a caller that must not repeat its request, so for such a probe
@@ -36,32 +37,32 @@
     ----------
     mean_seconds : float or None
         None if no request has completed here.
-    checked_at : float or None
-        When a request completed or a probe was sent last; before either,
-        when the first request was refused.
-    longest_left : float
-        Most time that a refused request had left since then, seconds.
     probe : admission.Ticket or None
         The request that is let through now.
+    refused_at : float or None
+        When the first request was refused since a request completed or a
+        probe was sent; None if none was.
     refusals : int
         Number of requests that were refused since then.
+    longest_left : float
+        Most time that one of them had left, seconds.
     """
 
     mean_seconds: float | None = None
-    checked_at: float | None = None
-    longest_left: float = 0.0
     probe: object = None
+    refused_at: float | None = None
     refusals: int = 0
+    longest_left: float = 0.0
 
-    def restart(self, now):
-        """Wait for the next probe from now on."""
-        self.checked_at = now
-        self.longest_left = 0.0
+    def restart(self):
+        """Wait for the next probe from the next refusal on."""
+        self.refused_at = None
         self.refusals = 0
+        self.longest_left = 0.0
 
     def is_probe_due(self, ticket, now):
-        """Return whether nothing has told the duration for long enough."""
-        age = now - self.checked_at
+        """Return whether requests have been refused for long enough."""
+        age = now - self.refused_at
         if ticket.is_idempotent or self.refusals >= REFUSALS_PER_PROBE:
             return age >= PROBE_INTERVAL_SECONDS
         return age >= MAXIMUM_PROBE_INTERVAL_SECONDS
@@ -107,8 +108,8 @@
         if estimate is None:
             estimate = self._estimates_by_route[ticket.route] = _Estimate()
         estimate.longest_left = max(estimate.longest_left, left)
-        if estimate.checked_at is None:
-            estimate.checked_at = now
+        if estimate.refused_at is None:
+            estimate.refused_at = now
         if (
             estimate.probe is not None
             or not estimate.is_probe_due(ticket, now)
@@ -125,21 +126,20 @@
         estimate.probe = ticket
         return True
 
-    def on_granted(self, ticket, now):
+    def on_granted(self, ticket):
         """Count the probe as sent if the request is one."""
         estimate = self._estimates_by_route.get(ticket.route)
         if estimate is not None and estimate.probe is ticket:
             self.probe_count += 1
-            estimate.restart(now)
+            estimate.restart()
 
-    def on_completed(self, ticket, seconds, now):
+    def on_completed(self, ticket, seconds):
         """Record the duration of a request; that of a probe is the new mean.
 
         Parameters
         ----------
         ticket : admission.Ticket
         seconds : float
-        now : float
         """
         estimate = self._estimates_by_route.get(ticket.route)
         if estimate is None:
@@ -150,7 +150,7 @@
         elif mean is None:
             mean = ticket.expected_seconds
         estimate.mean_seconds = mean + SMOOTHING_FACTOR * (seconds - mean)
-        estimate.restart(now)
+        estimate.restart()
 
     def on_ended(self, ticket):
         """Allow another probe if the request was one.
--- a/tests/traffic/test_admission.py
+++ b/tests/traffic/test_admission.py
@@ -420,6 +420,18 @@
     assert _are_on_time(requests, since=5.0)
 
 
+def test_one_request_with_too_little_time_is_refused_on_an_idle_route():
+    """Guards against probes that nothing calls for.
+
+    The pattern: the route is as fast as ever and has had no requests for long.
+    """
+    usual = _Request(arrival=0.0, objective=1.0, deadline=2.0, run=0.1)
+    late = _Request(arrival=10.0, objective=0.3, deadline=0.05, run=0.1)
+    _simulate([usual, late], _make_controller(), ends_at_deadline=True)
+    assert usual.is_on_time
+    assert isinstance(late.refusal, errors.DeadlineBeforeSendError)
+
+
 @pytest.mark.parametrize(
     "gap, is_idempotent, most",
     [(0.1, False, 20), (1.0, False, 5), (1.0, True, 20)],
