Let a test of a starting node fail instead of waiting forever

Cause: Two tests open a named pipe that the node reads. Change: The watchdog opens the pipe, too. Measured: tests/platform/test_signals.py: 5 passed; in a scratch copy with a node that ends at once the two tests fail after 4 s, the watchdog's time there.

--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -54,8 +54,12 @@
 
 
 @contextlib.contextmanager
-def _run_node(settings_path):
-    """Run the command of the deploy file; kill what is left of it."""
+def _run_node(settings_path, *, is_pipe=False):
+    """Run the command of the deploy file; kill what is left of it.
+
+    With ``is_pipe``, the settings file is a named pipe. If the process ends
+    before it has opened the pipe, a test that opens it does not wait forever.
+    """
     process = subprocess.Popen(
         [sys.executable, *_RUN[1:]],
         cwd=_ROOT,
@@ -63,7 +67,17 @@
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
     )
-    watchdog = threading.Timer(_TIMEOUT_SECONDS, process.kill)
+    # Keeps the pipe that ``settings_path`` names now.
+    pipe_path = settings_path.with_suffix(".pipe")
+    if is_pipe:
+        os.link(settings_path, pipe_path)
+
+    def give_up():
+        process.kill()
+        if is_pipe:
+            os.close(os.open(pipe_path, os.O_RDONLY | os.O_NONBLOCK))
+
+    watchdog = threading.Timer(_TIMEOUT_SECONDS, give_up)
     watchdog.start()
     try:
         yield process
@@ -125,7 +139,7 @@
     changed = tmp_path / "changed.toml"
     changed.write_text(first.replace("cold_slack = 5", "cold_slack = 6"))
     os.utime(changed, ns=(modified_ns, modified_ns))
-    with _run_node(path) as process:
+    with _run_node(path, is_pipe=True) as process:
         # Opening a pipe waits for the process that reads it.
         with open(path, "w") as pipe:
             pipe.write(first)
@@ -147,7 +161,7 @@
     os.mkfifo(path)
     whole = tmp_path / "whole.toml"
     whole.write_text(_make_settings())
-    with _run_node(path) as process:
+    with _run_node(path, is_pipe=True) as process:
         with open(path, "w"):
             os.replace(whole, path)
         _read_until(process, "node_started")
