Let the time asked of a probe follow the deadlines down

Cause: A probe needs half of the most time that any refused request had left. Change: That time decays with a half-life of 1 s. The counter of the owner node is named apart from its health checks, which are called probes as well.

--- a/shallotbridge/runtime/node.py
+++ b/shallotbridge/runtime/node.py
@@ -940,7 +940,9 @@
         gauge("requests_barred", lambda: self._crash_records.barred_count)
         gauge("upstreams_leaving_total", lambda: len(self._departures))
         gauge("limit_refusals_total", lambda: self._owner.limit_refused_count)
-        gauge("estimate_probes_total", lambda: self._owner.probe_count)
+        gauge(
+            "estimate_probes_total", lambda: self._owner.estimate_probe_count
+        )
         gauge(
             "invalid_answer_headers_total",
             lambda: self._owner.invalid_header_count,
--- a/shallotbridge/traffic/duration_estimates.py
+++ b/shallotbridge/traffic/duration_estimates.py
@@ -27,6 +27,8 @@
 # A probe needs at least this fraction of the most time that any refused
 # request had left: one that has almost none tells nothing.
 MINIMUM_PROBE_TIME_FRACTION = 0.5
+# Half-life of that time, as all deadlines may be shorter now.
+TIME_LEFT_HALF_LIFE_SECONDS = 1.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -45,7 +47,9 @@
     refusals : int
         Number of requests that were refused since then.
     longest_left : float
-        Most time that one of them had left, seconds.
+        Most time that one of them had left, decayed by its age, seconds.
+    decayed_at : float
+        Time of the last decay.
     """
 
     mean_seconds: float | None = None
@@ -53,6 +57,14 @@
     refused_at: float | None = None
     refusals: int = 0
     longest_left: float = 0.0
+    decayed_at: float = 0.0
+
+    def add_time_left(self, left, now):
+        """Count the time that a refused request has left, seconds."""
+        age = now - self.decayed_at
+        self.longest_left *= 0.5 ** (age / TIME_LEFT_HALF_LIFE_SECONDS)
+        self.longest_left = max(self.longest_left, left)
+        self.decayed_at = now
 
     def restart(self):
         """Wait for the next probe from the next refusal on."""
@@ -107,7 +119,7 @@
         estimate = self._estimates_by_route.get(ticket.route)
         if estimate is None:
             estimate = self._estimates_by_route[ticket.route] = _Estimate()
-        estimate.longest_left = max(estimate.longest_left, left)
+        estimate.add_time_left(left, now)
         if estimate.refused_at is None:
             estimate.refused_at = now
         if (
--- a/shallotbridge/traffic/owner.py
+++ b/shallotbridge/traffic/owner.py
@@ -451,7 +451,7 @@
         return 0 if order is None else order.floor_grants
 
     @property
-    def probe_count(self):
+    def estimate_probe_count(self):
         """Number of requests that were sent to renew an estimate."""
         return self._admission.probe_count
 
--- a/tests/traffic/test_admission.py
+++ b/tests/traffic/test_admission.py
@@ -406,6 +406,23 @@
     assert _are_on_time(requests, since=4.5)
 
 
+def test_an_estimate_is_renewed_when_all_requests_have_less_time_left():
+    """Guards against probes that wait for a deadline that no request has.
+
+    The pattern: requests with long deadlines were refused, and then a new
+    configuration shortens the deadlines of all that follow.
+    """
+    slow = _Request(
+        arrival=0.0, objective=12.0, deadline=12.0, run=9.0, expected=9.0
+    )
+    refused = _short_requests(9.1, 4, deadline=6.0)
+    requests = _short_requests(9.5, 200)
+    _simulate(
+        [slow, *refused, *requests], _make_controller(), ends_at_deadline=True
+    )
+    assert _are_on_time(requests, since=14.5)
+
+
 def test_an_estimate_is_renewed_beside_a_request_that_hangs():
     """Guards against one lost request that keeps its route refused."""
     hanging = _Request(
